Lay down the design, the core types and the build

Cause: the repository is empty; every later part needs the shape, the core types and the checks to build on. Conclusion: decisions build into a library that links no I/O code.

--- /dev/null
+++ b/src/app/command.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace cranberryshed::app {
+
+// Runs the subcommand that `arguments` name (without the program's name). Returns the exit code.
+int runCommand(const std::vector<std::string>& arguments);
+
+}
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,6 @@
+#include "app/command.h"
+
+int main(int argc, char** argv)
+{
+    return cranberryshed::app::runCommand({ argv + 1, argv + argc });
+}
--- /dev/null
+++ b/src/core/hash.cpp
@@ -0,0 +1,19 @@
+#include "core/hash.h"
+
+#include <array>
+#include <xxhash.h>
+
+namespace cranberryshed::core {
+
+std::uint64_t hashBytes(std::string_view bytes, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
+}
+
+std::uint64_t hashCombine(std::uint64_t first, std::uint64_t second)
+{
+    const std::array<std::uint64_t, 2> pair = { first, second };
+    return XXH3_64bits(pair.data(), sizeof(pair));
+}
+
+}
--- /dev/null
+++ b/src/core/names.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cranberryshed::core {
+
+// The names of a closed set, in the order of its enumerators, which start at 0 without gaps.
+// The same table feeds parsing, logs, metrics and the state dump.
+//
+// Specialise with `static constexpr std::array values = { "first", "second" };`.
+template <typename Enum>
+struct Names;
+
+template <typename Enum>
+concept Named = requires
+{
+    Names<Enum>::values.size();
+};
+
+template <Named Enum>
+constexpr std::size_t countOf()
+{
+    return Names<Enum>::values.size();
+}
+
+template <Named Enum>
+constexpr std::string_view nameOf(Enum value)
+{
+    return Names<Enum>::values[static_cast<std::size_t>(value)];
+}
+
+// Returns the enumerator with this name, or nothing if the set has no such name.
+template <Named Enum>
+constexpr std::optional<Enum> parseName(std::string_view name)
+{
+    for (std::size_t i = 0; i < countOf<Enum>(); ++i) {
+        if (Names<Enum>::values[i] == name)
+            return static_cast<Enum>(i);
+    }
+    return std::nullopt;
+}
+
+// All names, separated by commas, for messages that say what is allowed.
+template <Named Enum>
+std::string allNames()
+{
+    std::string text;
+    for (std::string_view name : Names<Enum>::values) {
+        if (!text.empty())
+            text += ", ";
+        text += name;
+    }
+    return text;
+}
+
+}
--- /dev/null
+++ b/src/core/sets.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "core/names.h"
+
+#include <cstdint>
+
+namespace cranberryshed::core {
+
+// Whether running a request twice has the same effect as running it once.
+enum class Repeat : std::uint8_t { Idempotent,
+    NonIdempotent };
+template <>
+struct Names<Repeat> {
+    static constexpr std::array<std::string_view, 2> values = { "idempotent", "non-idempotent" };
+};
+
+// Whether a class's work is short (a stock look-up) or many times longer (an archive).
+enum class WorkLength : std::uint8_t { Short,
+    Long };
+template <>
+struct Names<WorkLength> {
+    static constexpr std::array<std::string_view, 2> values = { "short", "long" };
+};
+
+// A backend server's state, as merged from traffic, health endpoint and VM list.
+enum class ServerState : std::uint8_t { Active,
+    Warming,
+    Leaving,
+    Ejected,
+    Gone };
+template <>
+struct Names<ServerState> {
+    static constexpr std::array<std::string_view, 5> values = { "active", "warming", "leaving", "ejected", "gone" };
+};
+
+// An entry VM's state in the membership protocol.
+enum class MemberState : std::uint8_t { Alive,
+    Suspect,
+    Leaving,
+    Left,
+    Dead };
+template <>
+struct Names<MemberState> {
+    static constexpr std::array<std::string_view, 5> values = { "alive", "suspect", "leaving", "left", "dead" };
+};
+
+// What a caller may conclude about a request that got no answer from a backend server.
+enum class RunState : std::uint8_t { NotRun,
+    WasRun,
+    MayHaveRun };
+template <>
+struct Names<RunState> {
+    static constexpr std::array<std::string_view, 3> values = { "not-run", "was-run", "may-have-run" };
+};
+
+// How one attempt at a backend server ended.
+enum class AttemptResult : std::uint8_t {
+    Answered, // The whole answer arrived.
+    Refused, // The backend server said that it did not run the request.
+    ConnectFailed, // No connection, so no byte was sent.
+    Broken, // The connection broke after a byte was sent and before the whole answer arrived.
+    TimedOut, // The deadline passed after a byte was sent.
+    Cancelled, // This entry VM cancelled the attempt.
+};
+template <>
+struct Names<AttemptResult> {
+    static constexpr std::array<std::string_view, 6> values = { "answered", "refused", "connect-failed", "broken", "timed-out", "cancelled" };
+};
+
+// The parts that log. The name is the fixed prefix of the part's log lines.
+enum class LogPart : std::uint8_t { App,
+    Lookup,
+    Request,
+    Control,
+    Fleet,
+    Platform,
+    Admin,
+    Wire };
+template <>
+struct Names<LogPart> {
+    static constexpr std::array<std::string_view, 8> values = { "app", "lookup", "request", "control", "fleet", "platform", "admin", "wire" };
+};
+
+}
--- /dev/null
+++ b/src/core/table.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "core/sets.h"
+#include "core/slots.h"
+#include "core/types.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace cranberryshed::core {
+
+struct RegionEntry {
+    std::string name;
+};
+
+struct DomainEntry {
+    std::string name;
+    RegionIndex region;
+};
+
+// A class of work with its target.
+struct ClassEntry {
+    std::string name;
+    std::string host; // empty: any host
+    std::vector<std::string> methods; // empty: any method
+    std::string pathPrefix;
+    std::string service; // the backend servers' service that runs the class
+    Repeat repeat = Repeat::Idempotent;
+    WorkLength length = WorkLength::Short;
+    Duration deadline {}; // used if the caller states none
+    Duration targetLatency {}; // p99 of an answer's first byte
+    double headroom = 0; // share of capacity that is kept free, 0 to 1
+    std::vector<ServerIndex> servers; // of the service, in the allowed regions
+    std::vector<double> regionShares; // by RegionIndex: share of this VM's traffic, sums to 1
+};
+
+// The last load report of a backend server. It may be old or wrong.
+struct LoadReport {
+    std::uint32_t inFlight = 0;
+    TimePoint receivedAt {};
+};
+
+struct ServerEntry {
+    std::string name;
+    std::string address; // "IP:port"
+    std::string service;
+    std::string batch;
+    RegionIndex region;
+    DomainIndex domain;
+    ServerState state = ServerState::Active;
+    std::uint32_t slots = 3; // requests that it runs at the same time
+    std::uint32_t connectionLimit = 330;
+    double warmth = 1; // share of its slots that may be used while it warms up, 0 to 1
+    bool home = false; // in the part of the servers that this entry VM prefers
+    std::optional<LoadReport> report;
+    std::uint64_t key = 0; // hash of the name; stable across tables
+    std::shared_ptr<SlotCount> inFlight; // this process's requests; the same counter in every table
+};
+
+struct MemberEntry {
+    std::string name;
+    std::string address; // "IP:port" for callers
+    RegionIndex region;
+    DomainIndex domain;
+    MemberState state = MemberState::Alive;
+    Incarnation incarnation {};
+    double load = 0; // share of its capacity in use
+};
+
+// Maps a caller's address to a site, see lookup/blocks.h.
+class BlockTable;
+
+// Everything that traffic needs to decide. Control builds a new one and publishes it whole;
+// a published table never changes.
+struct SteeringTable {
+    std::uint64_t generation = 0; // counts the tables of this process
+    std::uint64_t configurationRevision = 0; // highest revision of a declaration in force
+    std::vector<RegionEntry> regions;
+    std::vector<DomainEntry> domains;
+    std::vector<ClassEntry> classes;
+    std::vector<ServerEntry> servers;
+    std::vector<MemberEntry> members;
+    MemberIndex self;
+    bool leaving = false; // this entry VM is shutting down
+    std::unordered_set<std::uint64_t> quarantined; // Fingerprint values
+
+    const ClassEntry& at(ClassIndex index) const { return this->classes[index.value]; }
+    const ServerEntry& at(ServerIndex index) const { return this->servers[index.value]; }
+    const MemberEntry& at(MemberIndex index) const { return this->members[index.value]; }
+    const DomainEntry& at(DomainIndex index) const { return this->domains[index.value]; }
+    const RegionEntry& at(RegionIndex index) const { return this->regions[index.value]; }
+};
+
+using SteeringTablePointer = std::shared_ptr<const SteeringTable>;
+
+}
--- /dev/null
+++ b/src/core/types.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <random>
+
+namespace cranberryshed::core {
+
+using Duration = std::chrono::microseconds;
+
+// Monotonic time of this process. Never sent to another process.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+// Unix time, for contract dates and for figures shown to operators.
+using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
+
+// The engine for every random decision. It is an argument of the decision, so a seed repeats a run.
+using RandomEngine = std::mt19937_64;
+
+// A dense index into one table of a SteeringTable. Indexes of different tables do not mix,
+// and an index is only valid for the table it was taken from.
+template <typename Tag>
+struct Index {
+    std::uint32_t value = 0;
+    auto operator<=>(const Index&) const = default;
+};
+
+using ClassIndex = Index<struct ClassTag>;
+using ServerIndex = Index<struct ServerTag>;
+using RegionIndex = Index<struct RegionTag>;
+using DomainIndex = Index<struct DomainTag>;
+using MemberIndex = Index<struct MemberTag>;
+
+// Numbers that are unique within one process.
+enum class RequestId : std::uint64_t {};
+enum class AttemptId : std::uint64_t {};
+
+// Identifies a request's content across entry VMs, see request/fingerprint.h.
+enum class Fingerprint : std::uint64_t {};
+
+// One start of one entry VM. A later start of the same VM has a higher value.
+enum class Incarnation : std::uint64_t {};
+
+// An IPv4 address in host byte order.
+enum class CallerAddress : std::uint32_t {};
+
+}
+
+template <typename Tag>
+struct std::hash<cranberryshed::core::Index<Tag>> {
+    std::size_t operator()(const cranberryshed::core::Index<Tag>& index) const noexcept { return index.value; }
+};
--- /dev/null
+++ b/src/request/classify.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "core/pipe.h"
+#include "request/context.h"
+#include "request/match.h"
+
+#include <algorithm>
+
+namespace cranberryshed::request {
+
+// Filter: finds the class of work and the deadline. A caller may shorten the class's deadline, not extend it.
+struct Classify {
+    Step operator()(Context context, core::TimePoint now) const
+    {
+        const RequestArrived& arrival = context.arrival;
+        if (context.table->leaving)
+            return Step::end({ .request = arrival.request, .error = core::ErrorKind::ShuttingDown, .key = {}, .retryAfter = {} });
+        const std::optional<core::ClassIndex> found = matchClass(*context.table, arrival.host, arrival.method, arrival.target);
+        if (!found)
+            return Step::end({ .request = arrival.request, .error = core::ErrorKind::NoSuchClass, .key = {}, .retryAfter = {} });
+        context.classIndex = *found;
+        const core::Duration allowed = context.classEntry().deadline;
+        context.deadline = now + std::min(arrival.deadline.value_or(allowed), allowed);
+        return Step::pass(std::move(context));
+    }
+};
+
+}
--- /dev/null
+++ b/src/request/events.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "core/errors.h"
+#include "core/table.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cranberryshed::request {
+
+// What happens to a request. A front end turns its wire format into these.
+
+struct RequestArrived {
+    core::RequestId request;
+    std::string host;
+    std::string method;
+    std::string target; // path and query
+    core::CallerAddress caller {};
+    std::string key; // empty: none
+    std::optional<core::Duration> deadline; // from now; none: the class's
+    core::Fingerprint fingerprint {};
+    bool replayable = true; // the front end still holds the whole body and can send it again
+};
+
+// The head of a backend server's answer arrived.
+struct AnswerStarted {
+    core::RequestId request;
+    core::AttemptId attempt;
+    std::uint16_t status = 0;
+};
+
+struct AttemptEnded {
+    core::RequestId request;
+    core::AttemptId attempt;
+    core::AttemptResult result;
+    std::uint16_t status = 0; // of the answer, 0 if none
+    std::optional<core::Duration> retryAfter; // the backend server's hint
+};
+
+// The caller closed its connection before the answer was complete.
+struct CallerGone {
+    core::RequestId request;
+};
+
+// A time asked for by WaitUntil has come.
+struct TimerDue {
+    core::RequestId request;
+};
+
+// Another traffic thread freed a slot, or a new steering table is in force.
+struct CapacityChanged { };
+
+using Event = std::variant<RequestArrived, AnswerStarted, AttemptEnded, CallerGone, TimerDue, CapacityChanged>;
+
+// What the front end does next.
+
+struct SendAttempt {
+    core::RequestId request;
+    core::AttemptId attempt;
+    core::ServerIndex server; // of `table`
+    core::SteeringTablePointer table;
+    core::TimePoint deadline;
+};
+
+struct CancelAttempt {
+    core::RequestId request;
+    core::AttemptId attempt;
+};
+
+// Passes this attempt's answer to the caller, from its head on.
+struct RelayAnswer {
+    core::RequestId request;
+    core::AttemptId attempt;
+};
+
+// Answers the caller with an error of the system's own. Ends the request.
+struct Reject {
+    core::RequestId request;
+    core::ErrorKind error;
+    std::string key; // for KeyRequired: the key to use
+    std::optional<core::Duration> retryAfter;
+    std::uint16_t earlierStatus = 0; // for KeyUsed: the status of the first answer, 0 if unknown
+};
+
+// Delivers TimerDue at this time; replaces an earlier wait of the same request.
+struct WaitUntil {
+    core::RequestId request;
+    core::TimePoint time;
+};
+
+using Command = std::variant<SendAttempt, CancelAttempt, RelayAnswer, Reject, WaitUntil>;
+using Commands = std::vector<Command>;
+
+// What traffic tells control.
+
+struct ServerObserved {
+    std::string server; // name
+    core::AttemptResult result;
+    core::Duration elapsed {};
+    core::WorkLength length = core::WorkLength::Short;
+};
+
+// A backend server broke a connection without an answer while it ran these requests.
+struct CrashObserved {
+    std::string server; // name
+    std::vector<core::Fingerprint> inFlight;
+};
+
+// A request that was suspected of crashing a backend server was answered.
+struct SuspectCleared {
+    core::Fingerprint fingerprint;
+};
+
+struct DemandObserved {
+    std::string className;
+    std::uint32_t arrived = 0;
+    std::uint32_t rejected = 0;
+};
+
+using Observation = std::variant<ServerObserved, CrashObserved, SuspectCleared, DemandObserved>;
+using Observations = std::vector<Observation>;
+
+}
