--- /dev/null
+++ b/src/core/declarations.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "core/sets.h"
+#include "core/types.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cranberryshed::core {
+
+// Typed declarations, as the control pipeline reads them. declare/ turns objects into these.
+
+struct LinkDeclaration {
+    std::string toRegion;
+    Duration oneWayDelay {};
+    double capacityMbit = 0; // each way, for all traffic
+};
+
+struct RegionDeclaration {
+    std::string name;
+    std::vector<LinkDeclaration> links;
+};
+
+struct DomainDeclaration {
+    std::string name;
+    std::string region;
+    Duration oneWayDelay {}; // to the other failure domains of its region
+};
+
+// How requests of a class are recognised and what kind of work they are.
+struct ClassDeclaration {
+    std::string name;
+    std::string host; // empty: any host
+    std::vector<std::string> methods; // empty: any method
+    std::string pathPrefix;
+    std::string service;
+    Repeat repeat = Repeat::Idempotent;
+    WorkLength length = WorkLength::Short;
+    Duration deadline {};
+    std::uint64_t typicalBytes = 0; // of one answer, for link shares; 0: unknown
+};
+
+// What the operators ask for, per class.
+struct TargetDeclaration {
+    std::string className;
+    Duration latency {}; // p99 of an answer's first byte
+    double headroom = 0; // share of capacity kept free, 0 to 1
+    std::vector<std::string> allowedRegions; // empty: all
+    double shiftCap = 0; // largest share of the class's traffic moved per minute by a planned shift, 0 to 1
+};
+
+// Backend servers whose contract ends on one date.
+struct BatchDeclaration {
+    std::string name;
+    std::string service;
+    WallTime contractEnd {};
+    std::string replacement; // the batch that takes over; empty: all others of the service
+};
+
+// Where callers are. A block belongs to one site; a site is near some regions.
+struct SiteDeclaration {
+    std::string name;
+    std::vector<std::string> nearestDomains; // nearest first
+};
+
+struct BlockDeclaration {
+    std::uint32_t firstAddress = 0; // IPv4, host byte order
+    std::uint8_t prefixLength = 0;
+    std::string site;
+};
+
+struct Declarations {
+    std::uint64_t revision = 0; // highest revision of any object in it
+    std::vector<RegionDeclaration> regions;
+    std::vector<DomainDeclaration> domains;
+    std::vector<ClassDeclaration> classes;
+    std::vector<TargetDeclaration> targets;
+    std::vector<BatchDeclaration> batches;
+    std::vector<SiteDeclaration> sites;
+    std::vector<BlockDeclaration> blocks;
+};
+
+// One row of the platform's list of VMs. The list lags.
+struct ServerListing {
+    std::string name;
+    std::string address; // "IP:port"
+    std::string service;
+    std::string batch;
+    std::string domain;
+    bool leaving = false;
+    std::uint32_t slots = 3;
+    std::uint32_t connectionLimit = 330;
+};
+
+struct ServerList {
+    std::uint64_t version = 0; // of the list in the store
+    TimePoint receivedAt {};
+    std::vector<ServerListing> servers;
+};
+
+}
