Add the HTTP front end for callers and backend connections

Cause: the request engine needs a front end that turns HTTP into its events and its commands into HTTP. Change: src/wire: worker (one traffic thread), session (one caller connection), upstream (one attempt), connection pool, look-up answers. Bodies are streamed in pieces of 64 KiB; nothing is measured yet.

--- a/src/wire/asio.h
+++ b/src/wire/asio.h
@@ -3,6 +3,35 @@
 // The precompiled header of the I/O library. Decisions never include it.
 
 #include <boost/asio.hpp>
+#include <boost/asio/experimental/channel.hpp>
 #include <boost/beast.hpp>
 #include <boost/json.hpp>
 #include <spdlog/spdlog.h>
+
+namespace cranberryshed::wire {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using tcp = asio::ip::tcp;
+using udp = asio::ip::udp;
+using boost::system::error_code;
+
+// Every thread runs its own io_context, so the executor's type is fixed and costs no indirection.
+using Executor = asio::io_context::executor_type;
+
+template <typename Result>
+using Task = asio::awaitable<Result, Executor>;
+
+inline constexpr asio::use_awaitable_t<Executor> useTask {};
+
+// Completes with the error code as a value instead of an exception.
+inline constexpr auto useResult = asio::as_tuple(useTask);
+
+using Socket = asio::basic_stream_socket<tcp, Executor>;
+using Acceptor = asio::basic_socket_acceptor<tcp, Executor>;
+using Stream = beast::basic_stream<tcp, Executor>;
+using Timer = asio::basic_waitable_timer<std::chrono::steady_clock, asio::wait_traits<std::chrono::steady_clock>, Executor>;
+
+}
--- /dev/null
+++ b/src/wire/exchange.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "request/events.h"
+#include "wire/asio.h"
+#include "wire/header.h"
+#include "wire/pool.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace cranberryshed::wire {
+
+using CallerParser = http::request_parser<http::buffer_body>;
+using BackendParser = http::response_parser<http::buffer_body>;
+
+// One attempt to get an answer from a backend server.
+struct Attempt {
+    core::AttemptId id {};
+    std::string address;
+    core::TimePoint deadline {};
+    std::unique_ptr<BackendConnection> connection;
+    std::unique_ptr<BackendParser> parser;
+    bool cancelled = false;
+    bool relayed = false; // the engine chose this attempt's answer
+
+    // Closes the connection, which ends each wait on it. The backend server takes that as a cancellation.
+    void cancel()
+    {
+        this->cancelled = true;
+        if (this->connection)
+            this->connection->stream.close();
+    }
+};
+
+// What the engine decided about a request: whose answer to pass on, or what to answer instead.
+using Verdict = std::variant<request::RelayAnswer, request::Reject>;
+using VerdictChannel = asio::experimental::basic_channel<Executor, asio::experimental::channel_traits<>, void(error_code, Verdict)>;
+
+// One request of a caller, from its header to the end of its answer.
+struct Exchange {
+    Exchange(const Executor& executor, core::RequestId requestId)
+        : id(requestId)
+        , verdict(executor, 1)
+        , timer(executor)
+    {
+    }
+
+    core::RequestId id;
+    RequestHeader header; // as sent to backend servers
+    std::string bodyStart; // the part of the body that can be sent again
+    bool bodyComplete = true; // bodyStart is the whole body
+    bool bodyTaken = false; // an attempt reads the rest of the body from the caller
+    VerdictChannel verdict;
+    Timer timer;
+    std::vector<std::shared_ptr<Attempt>> attempts;
+    std::function<void(const request::SendAttempt&)> send; // starts an attempt
+    std::string className;
+    core::TimePoint arrivedAt {};
+};
+
+}
--- /dev/null
+++ b/src/wire/header.cpp
@@ -0,0 +1,94 @@
+#include "wire/header.h"
+
+#include <array>
+#include <charconv>
+
+namespace cranberryshed::wire {
+
+namespace {
+
+    constexpr std::array hopByHop = {
+        http::field::connection, http::field::keep_alive, http::field::proxy_connection, http::field::proxy_authenticate,
+        http::field::proxy_authorization, http::field::te, http::field::trailer, http::field::upgrade, http::field::expect
+    };
+
+    std::optional<char> decodeHexPair(std::string_view pair)
+    {
+        unsigned value = 0;
+        if (pair.size() != 2)
+            return std::nullopt;
+        const auto [end, error] = std::from_chars(pair.data(), pair.data() + 2, value, 16);
+        if (error != std::errc() || end != pair.data() + 2)
+            return std::nullopt;
+        return static_cast<char>(value);
+    }
+
+    std::string percentDecoded(std::string_view text)
+    {
+        std::string result;
+        for (std::size_t i = 0; i < text.size(); ++i) {
+            const std::optional<char> decoded = text[i] == '%' ? decodeHexPair(text.substr(i + 1, 2)) : std::nullopt;
+            result += decoded.value_or(text[i]);
+            if (decoded)
+                i += 2;
+        }
+        return result;
+    }
+
+}
+
+std::optional<core::ErrorKind> checkHeader(const RequestHeader& header)
+{
+    const auto hosts = header.count(http::field::host);
+    if (hosts > 1 || (header.version() >= 11 && hosts == 0))
+        return core::ErrorKind::BadRequest;
+    if (header.count(http::field::content_length) > 1)
+        return core::ErrorKind::BadRequest;
+    const auto encodings = header.count(http::field::transfer_encoding);
+    if (encodings > 1 || (encodings == 1 && !beast::iequals(header[http::field::transfer_encoding], "chunked")))
+        return core::ErrorKind::BadRequest;
+    if (encodings == 1 && (header.version() < 11 || header.count(http::field::content_length) > 0))
+        return core::ErrorKind::BadRequest;
+    if (header.method() == http::verb::connect || header.method() == http::verb::trace)
+        return core::ErrorKind::BadRequest;
+    if (header.target().empty() || header.target().front() != '/')
+        return core::ErrorKind::BadRequest;
+    return std::nullopt;
+}
+
+void removeHopByHop(Fields& fields)
+{
+    const std::string listed(fields[http::field::connection]);
+    for (const auto& name : http::token_list(listed))
+        fields.erase(name);
+    for (const http::field name : hopByHop)
+        fields.erase(name);
+}
+
+std::optional<std::string> queryParameter(std::string_view target, std::string_view name)
+{
+    const std::size_t question = target.find('?');
+    if (question == std::string_view::npos)
+        return std::nullopt;
+    std::string_view query = target.substr(question + 1);
+    while (!query.empty()) {
+        const std::string_view pair = query.substr(0, query.find('&'));
+        const std::size_t equals = pair.find('=');
+        if (equals != std::string_view::npos && pair.substr(0, equals) == name)
+            return percentDecoded(pair.substr(equals + 1));
+        query.remove_prefix(std::min(query.size(), pair.size() + 1));
+    }
+    return std::nullopt;
+}
+
+std::optional<std::chrono::microseconds> millisecondsField(const Fields& fields, std::string_view name)
+{
+    const std::string_view text = toStd(fields[beast::string_view(name.data(), name.size())]);
+    std::uint32_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc() || end != text.data() + text.size() || value == 0)
+        return std::nullopt;
+    return std::chrono::milliseconds(value);
+}
+
+}
--- /dev/null
+++ b/src/wire/limits.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "core/types.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace cranberryshed::wire {
+
+// Bounds on what one caller or one request may use.
+struct Limits {
+    std::uint32_t headerBytes = 16 * 1024;
+    std::uint64_t bodyBytes = 8ULL << 30;
+    std::size_t replayBytes = 64 * 1024; // a request body up to this size can be sent a second time
+    std::size_t relayBytes = 64 * 1024; // read at a time while a body is streamed
+    core::Duration headerTimeout = std::chrono::seconds(10); // from a header's first byte to its last
+    core::Duration idleTimeout = std::chrono::seconds(60); // between two requests of a connection
+    core::Duration progressTimeout = std::chrono::seconds(30); // without one byte of a body in either direction
+    core::Duration connectTimeout = std::chrono::seconds(1); // to a backend server
+    std::uint32_t connectionsPerCaller = 256;
+};
+
+}
--- /dev/null
+++ b/src/wire/pool.cpp
@@ -0,0 +1,62 @@
+#include "wire/pool.h"
+
+#include <algorithm>
+#include <sys/socket.h>
+
+namespace cranberryshed::wire {
+
+namespace {
+
+    // An idle connection with readable data or an end of stream was closed by the server or is out of step.
+    // Using it would turn an unsent request into one that may have run.
+    bool stillQuiet(BackendConnection& connection)
+    {
+        char byte = 0;
+        const ssize_t count = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
+}
+
+std::unique_ptr<BackendConnection> Pool::take(const std::string& address, core::TimePoint now)
+{
+    const auto found = this->idle.find(address);
+    if (found == this->idle.end())
+        return nullptr;
+    // The most recently used connection first, so that the others become old enough to be closed.
+    while (!found->second.empty()) {
+        std::unique_ptr<BackendConnection> connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (now - connection->idleSince < this->options.idleLimit && connection->buffer.size() == 0 && stillQuiet(*connection))
+            return connection;
+    }
+    return nullptr;
+}
+
+void Pool::put(const std::string& address, std::unique_ptr<BackendConnection> connection, core::TimePoint now)
+{
+    connection->idleSince = now;
+    this->idle[address].push_back(std::move(connection));
+}
+
+std::optional<core::TimePoint> Pool::closeIdle(core::TimePoint now)
+{
+    std::optional<core::TimePoint> next;
+    for (auto it = this->idle.begin(); it != this->idle.end();) {
+        std::erase_if(it->second, [&](const auto& connection) { return now - connection->idleSince >= this->options.idleLimit; });
+        for (const auto& connection : it->second)
+            next = std::min(next.value_or(core::TimePoint::max()), connection->idleSince + this->options.idleLimit);
+        it = it->second.empty() ? this->idle.erase(it) : std::next(it);
+    }
+    return next;
+}
+
+std::size_t Pool::idleCount() const
+{
+    std::size_t count = 0;
+    for (const auto& [address, connections] : this->idle)
+        count += connections.size();
+    return count;
+}
+
+}
--- /dev/null
+++ b/src/wire/worker.cpp
@@ -0,0 +1,198 @@
+#include "wire/worker.h"
+
+#include "wire/clock.h"
+#include "wire/log.h"
+#include "wire/session.h"
+
+#include <future>
+
+namespace cranberryshed::wire {
+
+namespace {
+
+    constexpr int listenBacklog = 1024;
+
+    // Request ids are unique in the process: the thread's index is in the upper bits.
+    constexpr unsigned threadIndexShift = 48;
+
+    using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+}
+
+Worker::Worker(Options workerOptions)
+    : options(std::move(workerOptions))
+    , work(asio::make_work_guard(*this->context))
+    , currentTable(std::make_shared<core::SteeringTable>())
+    , engine(this->options.engine, {}, this->options.seed)
+    , lookups(lookup::FindClass {}, lookup::RankMembers {})
+    , pool(this->options.pool)
+{
+    this->engine.setTable(this->currentTable);
+}
+
+Worker::~Worker()
+{
+    this->work.reset();
+    this->context->stop();
+    if (this->thread.joinable())
+        this->thread.join();
+    // Destroying the context ends the coroutines of open connections, which still use the other members.
+    this->exchanges.clear();
+    this->pool.clear();
+    this->acceptor.reset();
+    this->context.reset();
+}
+
+tcp::endpoint Worker::listen(const tcp::endpoint& endpoint)
+{
+    this->acceptor = std::make_shared<Acceptor>(this->executor());
+    this->acceptor->open(endpoint.protocol());
+    this->acceptor->set_option(asio::socket_base::reuse_address(true));
+    this->acceptor->set_option(ReusePort(true));
+    this->acceptor->bind(endpoint);
+    this->acceptor->listen(listenBacklog);
+    asio::co_spawn(*this->context, this->acceptLoop(this->acceptor), asio::detached);
+    asio::co_spawn(*this->context, this->closeIdleLoop(), asio::detached);
+    return this->acceptor->local_endpoint();
+}
+
+void Worker::start()
+{
+    this->thread = std::thread([this] { this->context->run(); });
+}
+
+void Worker::stop(core::Duration limit)
+{
+    std::promise<void> finished;
+    asio::co_spawn(
+        *this->context, [&]() -> Task<void> {
+            this->closing = true;
+            if (this->acceptor)
+                this->acceptor->close();
+            if (!this->exchanges.empty()) {
+                this->drainTimer = std::make_unique<Timer>(this->executor());
+                this->drainTimer->expires_after(limit);
+                co_await this->drainTimer->async_wait(useResult);
+                this->drainTimer.reset();
+            }
+            finished.set_value();
+        },
+        asio::detached);
+    finished.get_future().wait();
+    this->context->stop();
+    this->thread.join();
+}
+
+void Worker::setTable(core::SteeringTablePointer newTable)
+{
+    this->post([this, table = std::move(newTable)]() mutable {
+        this->currentTable = table;
+        this->engine.setTable(std::move(table));
+        this->handle(request::CapacityChanged {});
+    });
+}
+
+core::RequestId Worker::nextRequestId()
+{
+    return core::RequestId { (static_cast<std::uint64_t>(this->options.index) << threadIndexShift) | ++this->lastRequest };
+}
+
+void Worker::handle(const request::Event& event)
+{
+    request::Commands commands;
+    this->engine.handle(event, steadyNow(), commands);
+    for (const request::Command& command : commands)
+        std::visit([this](const auto& typed) { this->execute(typed); }, command);
+}
+
+void Worker::end(core::RequestId request)
+{
+    this->exchanges.erase(request);
+    if (this->drainTimer && this->exchanges.empty())
+        this->drainTimer->cancel();
+}
+
+std::shared_ptr<Attempt> Worker::findAttempt(core::RequestId request, core::AttemptId id)
+{
+    const auto found = this->exchanges.find(request);
+    if (found == this->exchanges.end())
+        return nullptr;
+    for (const std::shared_ptr<Attempt>& attempt : found->second->attempts) {
+        if (attempt->id == id)
+            return attempt;
+    }
+    return nullptr;
+}
+
+void Worker::execute(const request::SendAttempt& command)
+{
+    const auto found = this->exchanges.find(command.request);
+    if (found != this->exchanges.end())
+        found->second->send(command);
+}
+
+void Worker::execute(const request::CancelAttempt& command)
+{
+    if (const std::shared_ptr<Attempt> attempt = this->findAttempt(command.request, command.attempt))
+        attempt->cancel();
+}
+
+void Worker::execute(const request::RelayAnswer& command)
+{
+    const std::shared_ptr<Attempt> attempt = this->findAttempt(command.request, command.attempt);
+    if (!attempt)
+        return;
+    attempt->relayed = true;
+    this->exchanges[command.request]->verdict.try_send(error_code(), Verdict(command));
+}
+
+void Worker::execute(const request::Reject& command)
+{
+    const auto found = this->exchanges.find(command.request);
+    if (found != this->exchanges.end())
+        found->second->verdict.try_send(error_code(), Verdict(command));
+}
+
+void Worker::execute(const request::WaitUntil& command)
+{
+    const auto found = this->exchanges.find(command.request);
+    if (found == this->exchanges.end())
+        return;
+    found->second->timer.expires_at(command.time);
+    found->second->timer.async_wait([this, request = command.request](error_code error) {
+        if (!error)
+            this->handle(request::TimerDue { .request = request });
+    });
+}
+
+Task<void> Worker::acceptLoop(std::shared_ptr<Acceptor> listener)
+{
+    for (;;) {
+        Socket socket(this->executor());
+        auto [error] = co_await listener->async_accept(socket, useResult);
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error) {
+            // Out of file descriptors, for example: waits instead of accepting in a loop.
+            log(core::LogPart::Wire, spdlog::level::warn, "accept failed: {}", error.message());
+            Timer timer(this->executor());
+            timer.expires_after(std::chrono::milliseconds(100));
+            co_await timer.async_wait(useResult);
+            continue;
+        }
+        ++this->trafficMetrics.connections;
+        serveConnection(*this, std::move(socket));
+    }
+}
+
+Task<void> Worker::closeIdleLoop()
+{
+    Timer timer(this->executor());
+    for (;;) {
+        timer.expires_after(this->options.pool.idleLimit);
+        co_await timer.async_wait(useResult);
+        this->pool.closeIdle(steadyNow());
+    }
+}
+
+}
--- /dev/null
+++ b/src/wire/worker.h
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "lookup/pipeline.h"
+#include "request/engine.h"
+#include "wire/asio.h"
+#include "wire/exchange.h"
+#include "wire/limits.h"
+#include "wire/pool.h"
+#include "wire/traffic_metrics.h"
+
+#include <atomic>
+#include <functional>
+#include <thread>
+#include <unordered_map>
+
+namespace cranberryshed::wire {
+
+using TrafficEngine = request::Engine<request::RoundRobin>;
+
+// One traffic thread: its io_context, its part of the caller connections, its request engine.
+// Everything but `post`, `setTable` and `stop` is called on that thread only.
+class Worker {
+public:
+    struct Options {
+        std::uint32_t index = 0; // of the traffic threads of this process
+        std::uint64_t seed = 0;
+        Limits limits;
+        TrafficEngine::Options engine;
+        Pool::Options pool;
+    };
+
+    explicit Worker(Options);
+    Worker(const Worker&) = delete;
+    Worker& operator=(const Worker&) = delete;
+    ~Worker();
+
+    // Starts to accept callers. Several workers may listen on one endpoint; the kernel spreads connections.
+    // Returns the bound endpoint, with the port that the kernel chose if it was 0. Call before `start`.
+    tcp::endpoint listen(const tcp::endpoint&);
+
+    void start();
+
+    // Closes the listening socket and returns once no request is in flight or the time is over.
+    // Call from another thread; blocks it.
+    void stop(core::Duration limit);
+
+    // Uses this table from the next event on. Safe from any thread.
+    void setTable(core::SteeringTablePointer);
+
+    template <typename Function>
+    void post(Function function)
+    {
+        asio::post(*this->context, std::move(function));
+    }
+
+    asio::io_context& ioContext() { return *this->context; }
+    Executor executor() { return this->context->get_executor(); }
+    const Limits& limits() const { return this->options.limits; }
+    const core::SteeringTablePointer& table() const { return this->currentTable; }
+    Pool& connections() { return this->pool; }
+    TrafficMetrics& metrics() { return this->trafficMetrics; }
+    lookup::LookupPipe& lookupPipe() { return this->lookups; }
+    bool stopping() const { return this->closing; }
+
+    core::RequestId nextRequestId();
+
+    // Hands an event to the engine and carries out its commands.
+    void handle(const request::Event&);
+
+    void begin(const std::shared_ptr<Exchange>& exchange) { this->exchanges.emplace(exchange->id, exchange); }
+    void end(core::RequestId request);
+    std::size_t inFlight() const { return this->exchanges.size(); }
+    void connectionOpened() { ++this->connectionCount; }
+    void connectionClosed() { --this->connectionCount; }
+    std::size_t openConnections() const { return this->connectionCount; }
+
+private:
+    Task<void> acceptLoop(std::shared_ptr<Acceptor>);
+    Task<void> closeIdleLoop();
+
+    void execute(const request::SendAttempt&);
+    void execute(const request::CancelAttempt&);
+    void execute(const request::RelayAnswer&);
+    void execute(const request::Reject&);
+    void execute(const request::WaitUntil&);
+    std::shared_ptr<Attempt> findAttempt(core::RequestId, core::AttemptId);
+
+    Options options;
+    std::unique_ptr<asio::io_context> context = std::make_unique<asio::io_context>(1);
+    asio::executor_work_guard<Executor> work;
+    core::SteeringTablePointer currentTable;
+    TrafficEngine engine;
+    lookup::LookupPipe lookups;
+    Pool pool;
+    TrafficMetrics trafficMetrics;
+    std::unordered_map<core::RequestId, std::shared_ptr<Exchange>> exchanges;
+    std::shared_ptr<Acceptor> acceptor;
+    std::unique_ptr<Timer> drainTimer; // set while `stop` waits for the requests in flight
+    std::uint64_t lastRequest = 0;
+    std::size_t connectionCount = 0;
+    bool closing = false;
+    std::thread thread;
+};
+
+}
