Add the wait queue and the benchmark frame

The queue of a traffic thread is bounded by the expected wait, shares slot time between classes and callers, and serves the newest request first once it has been standing. bench_decisions has a table of benchmarks, one file each.

--- /dev/null
+++ b/bench/decisions/bench.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+// Benchmarks of decisions. Each is a function in a file of its own, declared here and listed in main.cpp.
+// A benchmark prints one line a case: ours beside the naive version and the ideal.
+namespace cranberryshed::bench {
+
+struct Figure {
+    std::string name; // with its unit, such as "p99_ms"
+    double value = 0;
+};
+
+// One case of a benchmark.
+struct Line {
+    std::string bench;
+    std::string name; // of the case
+    std::vector<Figure> figures;
+    std::string target; // such as "ratio <= 1.5"; empty: none
+    bool met = true;
+};
+
+// Prints lines as they are measured, as text or as one JSON object a line.
+class Report {
+public:
+    explicit Report(bool asJson)
+        : json(asJson)
+    {
+    }
+
+    void add(const Line&);
+    std::size_t missed() const { return this->missedTargets; }
+
+private:
+    bool json;
+    std::size_t missedTargets = 0;
+};
+
+// Each runs all its cases. The seed fixes every random draw.
+using Benchmark = void (*)(Report&, std::uint64_t seed);
+
+void admission(Report&, std::uint64_t seed);
+
+}
--- /dev/null
+++ b/src/request/queue.cpp
@@ -0,0 +1,198 @@
+#include "request/queue.h"
+
+#include <algorithm>
+
+namespace cranberryshed::request {
+
+namespace {
+
+    double seconds(core::Duration duration)
+    {
+        return std::chrono::duration<double>(duration).count();
+    }
+
+    core::TimePoint latestStart(const WaitingRequest& request)
+    {
+        return request.deadline - request.serviceTime;
+    }
+
+}
+
+Offer WaitQueue::offer(const WaitingRequest& request, double slots, core::TimePoint now)
+{
+    const core::Duration slack = latestStart(request) - now;
+    if (slack < core::Duration::zero())
+        return { .refusal = core::ErrorKind::DeadlineTooShort, .evicted = {} };
+    const core::Duration wait = this->expectedWait(request.pool, request.classKey, slots);
+    const auto found = this->classes.find(request.classKey);
+    const bool standing = found != this->classes.end() && this->isStanding(found->second, now);
+    // Under overload the newest request goes first, so the work that waits does not delay it.
+    if (!standing && wait > slack)
+        return { .refusal = core::ErrorKind::DeadlineTooShort, .evicted = {} };
+    Offer answer;
+    if (this->waiting.size() >= this->options.limit || wait > std::min(slack, this->options.longestWait)) {
+        answer.evicted = this->chooseEvicted(request, now);
+        if (!answer.evicted) {
+            answer.refusal = core::ErrorKind::Overloaded;
+            return answer;
+        }
+        this->erase(*answer.evicted, now);
+    }
+    this->insert(request, now);
+    return answer;
+}
+
+bool WaitQueue::remove(core::RequestId request, core::TimePoint now)
+{
+    if (!this->waiting.contains(request))
+        return false;
+    this->erase(request, now);
+    return true;
+}
+
+std::vector<core::RequestId> WaitQueue::expire(core::TimePoint now)
+{
+    std::vector<core::RequestId> expired;
+    while (!this->latestStarts.empty() && this->latestStarts.begin()->first < now) {
+        expired.push_back(this->latestStarts.begin()->second);
+        this->erase(expired.back(), now);
+    }
+    return expired;
+}
+
+std::optional<core::TimePoint> WaitQueue::nextDeadline() const
+{
+    if (this->latestStarts.empty())
+        return std::nullopt;
+    return this->latestStarts.begin()->first + core::Duration(1);
+}
+
+// A class gets at least an equal share of the slots, and waits at most for all work of its pool.
+core::Duration WaitQueue::expectedWait(std::uint64_t pool, std::uint64_t classKey, double slots) const
+{
+    double poolWork = 0;
+    double classWork = 0;
+    double sharing = 1;
+    for (const auto& [key, entry] : this->classes) {
+        if (entry.pool != pool || entry.callers.empty())
+            continue;
+        poolWork += entry.work;
+        if (key == classKey)
+            classWork = entry.work;
+        else
+            sharing += 1;
+    }
+    const double ahead = std::min(poolWork, classWork * sharing) / std::max(slots, 1.0);
+    return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(ahead));
+}
+
+std::vector<std::uint64_t> WaitQueue::classOrder() const
+{
+    std::vector<std::pair<double, std::uint64_t>> order;
+    for (const auto& [key, entry] : this->classes) {
+        if (!entry.callers.empty())
+            order.emplace_back(entry.start, key);
+    }
+    std::ranges::sort(order);
+    std::vector<std::uint64_t> keys;
+    keys.reserve(order.size());
+    for (const auto& [start, key] : order)
+        keys.push_back(key);
+    return keys;
+}
+
+// The requests of a class to try next: one of each caller, in the callers' order.
+std::vector<core::RequestId> WaitQueue::candidates(std::uint64_t classKey, core::TimePoint now) const
+{
+    const ClassQueue& entry = this->classes.at(classKey);
+    const bool newestFirst = this->isStanding(entry, now);
+    std::vector<core::RequestId> found;
+    for (const auto& [start, caller] : entry.callerOrder) {
+        if (found.size() == this->options.triesPerClass)
+            break;
+        const std::set<Position>& requests = entry.callers.at(caller).requests;
+        found.push_back(newestFirst ? requests.rbegin()->second : requests.begin()->second);
+    }
+    return found;
+}
+
+bool WaitQueue::isStanding(const ClassQueue& entry, core::TimePoint now) const
+{
+    if (entry.callers.empty())
+        return false;
+    const double limit = std::max(seconds(this->options.standing), seconds(entry.serviceTime) * this->options.standingServiceTimes);
+    return seconds(now - entry.standingSince) > limit;
+}
+
+// Advances the virtual times of the request's class and caller by the slot time that it is expected to take.
+void WaitQueue::charge(core::RequestId id)
+{
+    const WaitingRequest& request = this->waiting.at(id);
+    ClassQueue& entry = this->classes.at(request.classKey);
+    this->poolClocks[request.pool] = entry.start;
+    entry.start += seconds(request.serviceTime);
+
+    CallerQueue& callerQueue = entry.callers.at(request.caller);
+    entry.callerClock = callerQueue.start;
+    entry.callerOrder.erase({ callerQueue.start, request.caller });
+    callerQueue.start += seconds(request.serviceTime);
+    entry.callerOrder.emplace(callerQueue.start, request.caller);
+}
+
+void WaitQueue::insert(const WaitingRequest& request, core::TimePoint now)
+{
+    ClassQueue& entry = this->classes[request.classKey];
+    entry.pool = request.pool;
+    entry.serviceTime = request.serviceTime;
+    if (entry.callers.empty()) {
+        entry.standingSince = now;
+        entry.work = 0;
+        entry.start = std::max(entry.start, this->poolClocks[request.pool]);
+    }
+    auto [place, added] = entry.callers.try_emplace(request.caller);
+    if (added) {
+        place->second.start = entry.callerClock;
+        entry.callerOrder.emplace(entry.callerClock, request.caller);
+    }
+    place->second.requests.emplace(request.arrival, request.request);
+    entry.work += seconds(request.serviceTime);
+    this->latestStarts.emplace(latestStart(request), request.request);
+    this->waiting.emplace(request.request, request);
+}
+
+void WaitQueue::erase(core::RequestId id, core::TimePoint)
+{
+    const auto found = this->waiting.find(id);
+    const WaitingRequest& request = found->second;
+    ClassQueue& entry = this->classes.at(request.classKey);
+    const auto place = entry.callers.find(request.caller);
+    place->second.requests.erase({ request.arrival, id });
+    if (place->second.requests.empty()) {
+        entry.callerOrder.erase({ place->second.start, request.caller });
+        entry.callers.erase(place);
+    }
+    entry.work -= seconds(request.serviceTime);
+    this->latestStarts.erase({ latestStart(request), id });
+    this->waiting.erase(found);
+}
+
+// The request that gives way to the offered one: of the caller with the most requests of the class, the one
+// that would be served last. None if that would be the offered request itself.
+std::optional<core::RequestId> WaitQueue::chooseEvicted(const WaitingRequest& request, core::TimePoint now) const
+{
+    const auto found = this->classes.find(request.classKey);
+    if (found == this->classes.end() || found->second.callers.empty())
+        return std::nullopt;
+    const ClassQueue& entry = found->second;
+    const auto longest = std::ranges::max_element(entry.callers, {}, [](const auto& item) { return item.second.requests.size(); });
+    const std::set<Position>& requests = longest->second.requests;
+    if (this->isStanding(entry, now))
+        return requests.begin()->second;
+    const auto own = entry.callers.find(request.caller);
+    const std::size_t ownCount = own == entry.callers.end() ? 0 : own->second.requests.size();
+    if (ownCount + 1 >= requests.size())
+        return std::nullopt;
+    return requests.rbegin()->second;
+}
+
+}
