--- a/src/core/errors.h
+++ b/src/core/errors.h
@@ -44,6 +44,7 @@
     HistoryGone,
     BadMessage,
     NotInForce,
+    KeyUnclear,
 };
 
 // What follows from an error kind.
--- a/src/core/table.h
+++ b/src/core/table.h
@@ -85,7 +85,8 @@
     std::vector<MemberEntry> members;
     MemberIndex self;
     bool leaving = false; // this entry VM is shutting down
-    std::unordered_set<std::uint64_t> quarantined; // Fingerprint values
+    std::unordered_set<std::uint64_t> quarantined; // Fingerprint values of requests that are refused
+    std::unordered_set<std::uint64_t> suspects; // Fingerprint values of requests that run in isolation
 
     const ClassEntry& at(ClassIndex index) const { return this->classes[index.value]; }
     const ServerEntry& at(ServerIndex index) const { return this->servers[index.value]; }
--- a/src/request/events.h
+++ b/src/request/events.h
@@ -20,7 +20,7 @@
     core::CallerAddress caller {};
     std::string key; // empty: none
     std::optional<core::Duration> deadline; // from now; none: the class's
-    core::Fingerprint fingerprint {};
+    core::Fingerprint fingerprint {}; // of the content, see fingerprintOf()
     bool replayable = true; // the front end still holds the whole body and can send it again
 };
 
@@ -39,7 +39,8 @@
     std::optional<core::Duration> retryAfter; // the backend server's hint
 };
 
-// The caller closed its connection before the answer was complete.
+// The caller closed its connection before the answer was complete. An attempt in flight goes on until the
+// engine cancels it: the outcome of non-idempotent work is still recorded.
 struct CallerGone {
     core::RequestId request;
 };
@@ -69,7 +70,8 @@
     core::AttemptId attempt;
 };
 
-// Passes this attempt's answer to the caller, from its head on.
+// Passes this attempt's answer to the caller, from its head on. The request ends with this attempt's
+// AttemptEnded; if that says anything but Answered, the caller's connection is broken visibly.
 struct RelayAnswer {
     core::RequestId request;
     core::AttemptId attempt;
@@ -95,10 +97,11 @@
 
 // What traffic tells control.
 
+// One attempt that ended.
 struct ServerObserved {
     std::string server; // name
     core::AttemptResult result;
-    core::Duration elapsed {};
+    core::Duration elapsed {}; // until the head of the answer, or until the end if there was none
     core::WorkLength length = core::WorkLength::Short;
 };
 
@@ -106,6 +109,7 @@
 struct CrashObserved {
     std::string server; // name
     std::vector<core::Fingerprint> inFlight;
+    bool isolated = false; // its only request, as far as this entry VM can tell: the second crash of that request
 };
 
 // A request that was suspected of crashing a backend server was answered.
@@ -113,6 +117,7 @@
     core::Fingerprint fingerprint;
 };
 
+// The requests of one class since the last such observation, about once a second.
 struct DemandObserved {
     std::string className;
     std::uint32_t arrived = 0;
--- /dev/null
+++ b/src/request/fingerprint.cpp
@@ -0,0 +1,39 @@
+#include "request/fingerprint.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <cctype>
+#include <limits>
+#include <string>
+
+namespace cranberryshed::request {
+
+namespace {
+
+    std::string normalisedHost(std::string_view host)
+    {
+        std::string result(host.substr(0, host.find(':')));
+        std::ranges::transform(result, result.begin(), [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+        return result;
+    }
+
+}
+
+// Each field is hashed by itself, so that no byte can move from one field to the next unnoticed.
+core::Fingerprint fingerprintOf(const Content& content)
+{
+    std::uint64_t hash = core::hashBytes(normalisedHost(content.host));
+    hash = core::hashCombine(hash, core::hashBytes(content.method));
+    hash = core::hashCombine(hash, core::hashBytes(content.target));
+    hash = core::hashCombine(hash, content.bodyLength.value_or(std::numeric_limits<std::uint64_t>::max()));
+    hash = core::hashCombine(hash, core::hashBytes(content.bodyPrefix.substr(0, fingerprintPrefix)));
+    return core::Fingerprint { hash };
+}
+
+core::Fingerprint withClass(core::Fingerprint content, std::string_view className)
+{
+    return core::Fingerprint { core::hashCombine(core::hashBytes(className), static_cast<std::uint64_t>(content)) };
+}
+
+}
--- /dev/null
+++ b/src/request/hedge.cpp
@@ -0,0 +1,37 @@
+#include "request/hedge.h"
+
+#include <algorithm>
+
+namespace cranberryshed::request {
+
+void QuantileTracker::add(core::Duration sample)
+{
+    const double measured = std::max(1.0, static_cast<double>(sample.count()));
+    if (this->samples == 0)
+        this->value = measured;
+    this->samples = std::min(this->samples + 1, samplesNeeded);
+    this->value *= measured > this->value ? 1 + step * this->quantile : 1 - step * (1 - this->quantile);
+}
+
+std::optional<core::Duration> QuantileTracker::estimate() const
+{
+    if (this->samples < samplesNeeded)
+        return std::nullopt;
+    return core::Duration(static_cast<core::Duration::rep>(this->value));
+}
+
+std::optional<core::Duration> hedgeDelay(const HedgeCandidate& candidate, const HedgeOptions& options, const QuantileTracker& latency)
+{
+    const bool allowed = options.enabled && candidate.repeat == core::Repeat::Idempotent
+        && candidate.length == core::WorkLength::Short && candidate.replayable && !candidate.suspect;
+    if (!allowed || !latency.estimate())
+        return std::nullopt;
+    return std::max(*latency.estimate(), options.minimumDelay);
+}
+
+bool mayHedge(const HedgeOptions& options, double load, TokenBudget& budget, core::TimePoint now)
+{
+    return load <= options.loadLimit && budget.trySpend(now);
+}
+
+}
--- /dev/null
+++ b/src/request/keys.cpp
@@ -0,0 +1,177 @@
+#include "request/keys.h"
+
+#include <array>
+#include <charconv>
+
+namespace cranberryshed::request {
+
+namespace {
+
+    constexpr std::size_t fieldCount = 5;
+    constexpr int hexBase = 16;
+
+    void appendHex(std::string& text, std::uint64_t value)
+    {
+        std::array<char, hexBase> digits {};
+        const auto [end, error] = std::to_chars(digits.data(), digits.data() + digits.size(), value, hexBase);
+        text.append(digits.data(), end);
+    }
+
+    // Accepts exactly what appendHex writes, so that one key has one text.
+    std::optional<std::uint64_t> parseHex(std::string_view text)
+    {
+        std::uint64_t value = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, hexBase);
+        if (text.empty() || error != std::errc {} || end != text.data() + text.size())
+            return std::nullopt;
+        std::string written;
+        appendHex(written, value);
+        return written == text ? std::optional(value) : std::nullopt;
+    }
+
+    std::optional<std::array<std::uint64_t, fieldCount>> parseFields(std::string_view text)
+    {
+        std::array<std::uint64_t, fieldCount> fields {};
+        for (std::size_t i = 0; i < fieldCount; ++i) {
+            const bool last = i + 1 == fieldCount;
+            const std::size_t dash = last ? text.size() : text.find('-');
+            if (dash == std::string_view::npos)
+                return std::nullopt;
+            const std::optional<std::uint64_t> value = parseHex(text.substr(0, dash));
+            if (!value)
+                return std::nullopt;
+            fields[i] = *value;
+            text.remove_prefix(last ? dash : dash + 1);
+        }
+        return fields;
+    }
+
+}
+
+std::string formatKey(const RequestKey& key)
+{
+    std::string text;
+    appendHex(text, keyVersion);
+    for (const std::uint64_t field : { key.member, static_cast<std::uint64_t>(key.incarnation), static_cast<std::uint64_t>(key.expiry.time_since_epoch().count()), key.nonce }) {
+        text += '-';
+        appendHex(text, field);
+    }
+    return text;
+}
+
+ParsedKey parseKey(std::string_view text)
+{
+    const auto fields = parseFields(text);
+    if (!fields)
+        return {};
+    const auto [version, member, incarnation, expiry, nonce] = *fields;
+    if (version != keyVersion)
+        return { .key = std::nullopt, .otherVersion = true };
+    const core::TimePoint expiryTime { core::Duration(static_cast<std::int64_t>(expiry)) };
+    return { .key = RequestKey { .member = member, .incarnation = core::Incarnation { incarnation }, .expiry = expiryTime, .nonce = nonce }, .otherVersion = false };
+}
+
+KeyLedger::KeyLedger(std::uint64_t memberHash, core::Incarnation presentIncarnation, KeyOptions keyOptions, std::uint64_t seed)
+    : member(memberHash)
+    , incarnation(presentIncarnation)
+    , options(keyOptions)
+    , random(seed)
+{
+}
+
+std::string KeyLedger::issue(core::TimePoint now)
+{
+    const std::lock_guard lock(this->mutex);
+    return formatKey({ .member = this->member, .incarnation = this->incarnation, .expiry = now + this->options.lifetime, .nonce = this->random() });
+}
+
+KeyClaim KeyLedger::claim(std::string_view text, core::Fingerprint fingerprint, core::TimePoint now)
+{
+    const ParsedKey parsed = parseKey(text);
+    if (const std::optional<core::ErrorKind> refusal = this->check(parsed, now))
+        return { .refusal = refusal };
+    const std::lock_guard lock(this->mutex);
+    this->forgetExpired(now);
+    const auto found = this->entries.find(parsed.key->nonce);
+    if (found != this->entries.end())
+        return this->claimKnown(found->second, fingerprint);
+    // Forgetting a key before its expiry would let it run twice, so a full ledger refuses new ones.
+    if (this->entries.size() >= this->options.limit)
+        return { .refusal = core::ErrorKind::Overloaded };
+    this->entries.emplace(parsed.key->nonce, Entry { .fingerprint = fingerprint, .expiry = parsed.key->expiry });
+    this->deadlines.push({ .expiry = parsed.key->expiry, .nonce = parsed.key->nonce });
+    return {};
+}
+
+// An expiry beyond what this ledger issues would have to be remembered for longer than `lifetime`.
+std::optional<core::ErrorKind> KeyLedger::check(const ParsedKey& parsed, core::TimePoint now) const
+{
+    if (parsed.otherVersion)
+        return core::ErrorKind::KeyForeign;
+    if (!parsed.key)
+        return core::ErrorKind::KeyMalformed;
+    if (parsed.key->member != this->member || parsed.key->incarnation != this->incarnation)
+        return core::ErrorKind::KeyForeign;
+    if (parsed.key->expiry > now + this->options.lifetime)
+        return core::ErrorKind::KeyMalformed;
+    if (parsed.key->expiry <= now)
+        return core::ErrorKind::KeyExpired;
+    return std::nullopt;
+}
+
+KeyClaim KeyLedger::claimKnown(Entry& entry, core::Fingerprint fingerprint) const
+{
+    if (entry.state == State::Free) {
+        entry.state = State::Running;
+        entry.fingerprint = fingerprint;
+        return {};
+    }
+    if (entry.fingerprint != fingerprint)
+        return { .refusal = core::ErrorKind::KeyMismatch };
+    if (entry.state == State::Running)
+        return { .refusal = core::ErrorKind::KeyInProgress };
+    if (entry.status == 0)
+        return { .refusal = core::ErrorKind::KeyUnclear };
+    return { .refusal = core::ErrorKind::KeyUsed, .earlierStatus = entry.status };
+}
+
+void KeyLedger::giveBack(std::string_view text)
+{
+    const std::lock_guard lock(this->mutex);
+    if (Entry* entry = this->find(text); entry && entry->state == State::Running)
+        entry->state = State::Free;
+}
+
+void KeyLedger::finish(std::string_view text, std::uint16_t status)
+{
+    const std::lock_guard lock(this->mutex);
+    if (Entry* entry = this->find(text)) {
+        entry->state = State::Ended;
+        entry->status = status;
+    }
+}
+
+std::size_t KeyLedger::held() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->entries.size();
+}
+
+KeyLedger::Entry* KeyLedger::find(std::string_view text)
+{
+    const ParsedKey parsed = parseKey(text);
+    if (!parsed.key)
+        return nullptr;
+    const auto found = this->entries.find(parsed.key->nonce);
+    return found == this->entries.end() ? nullptr : &found->second;
+}
+
+void KeyLedger::forgetExpired(core::TimePoint now)
+{
+    while (!this->deadlines.empty() && this->deadlines.top().expiry <= now) {
+        this->entries.erase(this->deadlines.top().nonce);
+        this->deadlines.pop();
+    }
+}
+
+}
--- /dev/null
+++ b/src/request/retry.cpp
@@ -0,0 +1,52 @@
+#include "request/retry.h"
+
+#include <algorithm>
+
+namespace cranberryshed::request {
+
+TokenBudget::TokenBudget(BudgetOptions budgetOptions)
+    : options(budgetOptions)
+    , tokens(budgetOptions.minimum)
+{
+}
+
+void TokenBudget::onSuccess()
+{
+    this->tokens = std::min(this->tokens + this->options.share, std::max(this->tokens, this->options.limit));
+}
+
+bool TokenBudget::trySpend(core::TimePoint now)
+{
+    const std::chrono::duration<double> passed = now - this->refilledAt.value_or(now);
+    this->refilledAt = std::max(now, this->refilledAt.value_or(now));
+    if (this->tokens < this->options.minimum && passed.count() > 0)
+        this->tokens = std::min(this->tokens + passed.count() * this->options.minimumPerSecond, this->options.minimum);
+    if (this->tokens < 1)
+        return false;
+    this->tokens -= 1;
+    return true;
+}
+
+bool mayRetry(const FailedAttempt& failed, const RetryOptions& options)
+{
+    if (failed.repeat == core::Repeat::NonIdempotent && failed.mayHaveRun)
+        return false;
+    return failed.replayable && !failed.answerStarted && failed.attempts < options.attemptLimit;
+}
+
+std::optional<core::Duration> retryDelay(const FailedAttempt& failed, const RetryOptions& options, TokenBudget& budget, core::RandomEngine& random, core::TimePoint now)
+{
+    if (!mayRetry(failed, options) || now >= failed.deadline)
+        return std::nullopt;
+    core::Duration delay = options.firstDelay;
+    for (unsigned i = 1; i < failed.attempts && delay < options.maximumDelay; ++i)
+        delay *= 2;
+    delay = std::min(delay, options.maximumDelay);
+    std::uniform_real_distribution<double> jitter(0.5, 1.5);
+    delay = core::Duration(static_cast<core::Duration::rep>(static_cast<double>(delay.count()) * jitter(random)));
+    if (delay > (failed.deadline - now) / 2 || !budget.trySpend(now))
+        return std::nullopt;
+    return delay;
+}
+
+}
--- /dev/null
+++ b/src/request/retry.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "core/sets.h"
+#include "core/types.h"
+
+#include <optional>
+
+namespace cranberryshed::request {
+
+struct BudgetOptions {
+    double share = 0; // tokens earned by one success
+    double minimum = 0; // a budget below this fills up by itself, so that a quiet class can still retry
+    double minimumPerSecond = 0; // speed of that
+    double limit = 0; // tokens that can be saved up
+};
+
+// Tokens for extra attempts of one class on one traffic thread: a share of recent successes. When most
+// attempts fail, successes and with them extra attempts stop, so retries cannot multiply an overload.
+class TokenBudget {
+public:
+    explicit TokenBudget(BudgetOptions);
+
+    void onSuccess();
+    bool trySpend(core::TimePoint now);
+
+private:
+    BudgetOptions options;
+    double tokens;
+    std::optional<core::TimePoint> refilledAt;
+};
+
+struct RetryOptions {
+    // Together with the hedge budget at most 5 % extra attempts in steady state.
+    BudgetOptions budget { .share = 0.04, .minimum = 3, .minimumPerSecond = 0.2, .limit = 50 };
+    unsigned attemptLimit = 4; // of one request, the first one included
+    core::Duration firstDelay = std::chrono::milliseconds(2); // doubled for each further attempt
+    core::Duration maximumDelay = std::chrono::milliseconds(200);
+};
+
+// What is known about a request when one of its attempts failed.
+struct FailedAttempt {
+    core::AttemptResult result = core::AttemptResult::Broken;
+    core::Repeat repeat = core::Repeat::Idempotent;
+    bool mayHaveRun = false; // this or an earlier attempt may have run
+    bool replayable = true; // the body can be sent again
+    bool answerStarted = false; // the caller has received a part of an answer
+    unsigned attempts = 1; // so far
+    core::TimePoint deadline {};
+};
+
+// Whether sending the request again is safe and possible at all, whatever the budget.
+bool mayRetry(const FailedAttempt&, const RetryOptions&);
+
+// Returns how long to wait before the next attempt, or nothing if there is to be none. Spends a token.
+// The delay is exponential with jitter between half and one and a half, and leaves half of the time that
+// remains until the deadline.
+std::optional<core::Duration> retryDelay(const FailedAttempt&, const RetryOptions&, TokenBudget&, core::RandomEngine&, core::TimePoint now);
+
+}
