Add a thin control pipeline

Control had no path from declarations to a table. The pipeline merges the server list into servers, divides them into home subsets and publishes a table that keeps slot counts by name. Fields for in-flight limits per region, the block table and the site ranks are added at the ends of the core types. The hash is compiled in, because the pure test binary links no shared library.

--- /dev/null
+++ b/src/control/publish.cpp
@@ -0,0 +1,110 @@
+#include "control/publish.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace cranberryshed::control {
+
+namespace {
+
+    template <typename Entry>
+    std::optional<std::uint32_t> indexOf(const std::vector<Entry>& entries, const std::string& name)
+    {
+        const auto found = std::ranges::find(entries, name, &Entry::name);
+        if (found == entries.end())
+            return std::nullopt;
+        return static_cast<std::uint32_t>(found - entries.begin());
+    }
+
+    bool allows(const core::TargetDeclaration* target, const std::string& region)
+    {
+        return !target || target->allowedRegions.empty() || std::ranges::find(target->allowedRegions, region) != target->allowedRegions.end();
+    }
+
+}
+
+core::Outcome<Published, Halt> Publish::operator()(Context context, core::TimePoint)
+{
+    auto table = std::make_shared<core::SteeringTable>();
+    table->generation = ++this->generation;
+    table->configurationRevision = context.declarations().revision;
+    table->leaving = context.sources.leaving;
+    this->addPlaces(*table, context);
+    this->addServers(*table, context);
+    this->addClasses(*table, context);
+    this->addMembers(*table, context);
+    for (const core::Fingerprint fingerprint : context.sources.quarantined)
+        table->quarantined.insert(static_cast<std::uint64_t>(fingerprint));
+    return core::Outcome<Published, Halt>::pass({ .table = std::move(table), .drains = std::move(context.drains), .warnings = std::move(context.warnings) });
+}
+
+void Publish::addPlaces(core::SteeringTable& table, const Context& context) const
+{
+    for (const core::RegionDeclaration& region : context.declarations().regions)
+        table.regions.push_back({ .name = region.name });
+    for (const core::DomainDeclaration& domain : context.declarations().domains)
+        table.domains.push_back({ .name = domain.name, .region = core::RegionIndex { indexOf(table.regions, domain.region).value_or(0) } });
+}
+
+void Publish::addServers(core::SteeringTable& table, const Context& context)
+{
+    std::unordered_map<std::string, std::shared_ptr<core::SlotCount>> kept;
+    for (const Server& server : context.servers) {
+        const core::ServerListing& listing = server.listing;
+        std::shared_ptr<core::SlotCount> count;
+        if (const auto found = this->slotCounts.find(listing.name); found != this->slotCounts.end())
+            count = found->second;
+        else
+            count = std::make_shared<core::SlotCount>();
+        kept.emplace(listing.name, count);
+        table.servers.push_back({ .name = listing.name, .address = listing.address, .service = listing.service, .batch = listing.batch, .region = server.region, .domain = server.domain, .state = server.state, .slots = listing.slots, .connectionLimit = listing.connectionLimit, .warmth = server.warmth, .home = server.home, .report = server.report, .key = core::hashBytes(listing.name), .inFlight = std::move(count) });
+    }
+    // A server that is absent may return while requests at it are still in flight, so its count is kept until then.
+    for (const auto& [name, count] : this->slotCounts) {
+        if (count->inFlight() > 0)
+            kept.emplace(name, count);
+    }
+    this->slotCounts = std::move(kept);
+}
+
+void Publish::addClasses(core::SteeringTable& table, const Context& context) const
+{
+    const core::Declarations& declarations = context.declarations();
+    for (std::size_t i = 0; i < declarations.classes.size(); ++i) {
+        const core::ClassDeclaration& declaration = declarations.classes[i];
+        const auto found = std::ranges::find(declarations.targets, declaration.name, &core::TargetDeclaration::className);
+        const core::TargetDeclaration* target = found == declarations.targets.end() ? nullptr : &*found;
+        core::ClassEntry entry { .name = declaration.name, .host = declaration.host, .methods = declaration.methods, .pathPrefix = declaration.pathPrefix, .service = declaration.service, .repeat = declaration.repeat, .length = declaration.length, .deadline = declaration.deadline, .targetLatency = target ? target->latency : core::Duration {}, .headroom = target ? target->headroom : 0, .servers = {}, .regionShares = {}, .regionLimits = {} };
+        for (std::uint32_t server = 0; server < table.servers.size(); ++server) {
+            const core::ServerEntry& candidate = table.servers[server];
+            if (candidate.service == declaration.service && allows(target, table.at(candidate.region).name))
+                entry.servers.push_back(core::ServerIndex { server });
+        }
+        if (i < context.regionShares.size()) {
+            entry.regionShares = context.regionShares[i];
+            entry.regionLimits = context.regionLimits[i];
+        } else {
+            entry.regionShares.assign(table.regions.size(), 0);
+            entry.regionShares[context.selfRegion.value] = 1;
+            entry.regionLimits.assign(table.regions.size(), std::numeric_limits<double>::infinity());
+        }
+        table.classes.push_back(std::move(entry));
+    }
+}
+
+void Publish::addMembers(core::SteeringTable& table, const Context& context) const
+{
+    for (const MemberSource& member : context.sources.members) {
+        const auto domain = indexOf(table.domains, member.domain);
+        if (!domain)
+            continue;
+        if (member.name == context.sources.self)
+            table.self = core::MemberIndex { static_cast<std::uint32_t>(table.members.size()) };
+        const core::DomainIndex domainIndex { *domain };
+        table.members.push_back({ .name = member.name, .address = member.address, .region = table.at(domainIndex).region, .domain = domainIndex, .state = member.state, .incarnation = member.incarnation, .load = member.load });
+    }
+}
+
+}
--- /dev/null
+++ b/src/control/publish.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "control/sources.h"
+
+#include <unordered_map>
+
+namespace cranberryshed::control {
+
+// Filter: builds the steering table. Keeps each backend server's slot count by name across tables.
+class Publish {
+public:
+    core::Outcome<Published, Halt> operator()(Context, core::TimePoint now);
+
+private:
+    void addPlaces(core::SteeringTable&, const Context&) const;
+    void addServers(core::SteeringTable&, const Context&);
+    void addClasses(core::SteeringTable&, const Context&) const;
+    void addMembers(core::SteeringTable&, const Context&) const;
+
+    std::uint64_t generation = 0;
+    std::unordered_map<std::string, std::shared_ptr<core::SlotCount>> slotCounts;
+};
+
+}
--- /dev/null
+++ b/src/control/sources.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "core/declarations.h"
+#include "core/digest.h"
+#include "core/pipe.h"
+#include "core/table.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cranberryshed::control {
+
+// What a health or load endpoint of a backend server said. It may be late or wrong.
+struct HealthReport {
+    std::string server {}; // name
+    core::TimePoint receivedAt {};
+    bool healthy = true;
+    bool leaving = false;
+    std::uint32_t inFlight = 0; // requests of all entry VMs
+    std::optional<core::Duration> uptime {}; // since the server's start; none: not stated
+};
+
+// How one attempt of this VM's own traffic ended.
+struct TrafficReport {
+    std::string server {}; // name
+    core::TimePoint at {};
+    core::AttemptResult result = core::AttemptResult::Answered;
+    core::Duration elapsed {};
+    core::WorkLength length = core::WorkLength::Short;
+    bool leaving = false; // the answer said that the server is leaving
+};
+
+// This VM's own demand of one class, smoothed over some seconds.
+struct OwnDemand {
+    std::string className {};
+    double rate = 0; // requests that arrive per second
+    core::Duration meanTime {}; // mean time that a request holds a slot
+};
+
+struct MemberSource {
+    std::string name {};
+    std::string address {}; // "IP:port" for callers
+    std::string domain {};
+    core::MemberState state = core::MemberState::Alive;
+    core::Incarnation incarnation {};
+    double load = 0; // share of its capacity in use
+};
+
+// Everything that the control pipeline reads on one run. Reports are those since the last run; the other
+// fields are the last known state, however old.
+struct Sources {
+    std::shared_ptr<const core::Declarations> declarations {};
+    std::shared_ptr<const core::BlockTable> blocks {}; // empty: built from the declarations' blocks
+    core::ServerList list {};
+    std::vector<HealthReport> health {};
+    std::vector<TrafficReport> traffic {};
+    std::vector<OwnDemand> demand {};
+    std::vector<core::DomainDigest> digests {};
+    std::vector<MemberSource> members {};
+    std::vector<core::Fingerprint> quarantined {};
+    std::string self {}; // name of this VM
+    std::string selfDomain {};
+    bool leaving = false; // this VM is shutting down
+    core::WallTime wall {}; // for contract dates
+};
+
+// A backend server as the filters know it. Ordered by name.
+struct Server {
+    core::ServerListing listing {};
+    core::RegionIndex region {};
+    core::DomainIndex domain {};
+    core::ServerState state = core::ServerState::Active;
+    double warmth = 1;
+    bool home = false;
+    std::optional<core::LoadReport> report {};
+};
+
+// A figure that is only as good as its age. Beyond the age limit it says nothing.
+struct Figure {
+    double value = 0;
+    double trust = 0; // 1: fresh, falls to 0: unknown
+};
+
+// Demand of one class at the entry VMs of one region, in requests per second.
+struct ClassDemand {
+    Figure rate {};
+    double meanSeconds = 0; // that a request holds a slot
+};
+
+// What one region can do for a service and what its own callers need, in slots.
+struct RegionLoad {
+    double slots = 0; // that may get new work, warming servers in part
+    double batchSlots = 0; // all slots of its servers, whatever their state
+};
+
+enum class DrainState : std::uint8_t { Planned,
+    Draining,
+    Drained,
+    Late,
+    Blocked };
+
+struct DrainStatus {
+    std::string batch {};
+    DrainState state = DrainState::Planned;
+    double share = 1; // of its usual traffic that the batch still gets
+    core::WallTime finish {}; // expected end of new work
+    core::WallTime contractEnd {};
+};
+
+// The state of one run on its way through the filters.
+struct Context {
+    Sources sources;
+    core::RegionIndex selfRegion {};
+    core::DomainIndex selfDomain {};
+    std::vector<Server> servers {};
+    std::vector<std::vector<ClassDemand>> demand {}; // by class, by region
+    std::vector<std::vector<double>> regionShares {}; // by class, by region
+    std::vector<std::vector<double>> regionLimits {}; // by class, by region
+    std::vector<DrainStatus> drains {};
+    std::vector<std::string> warnings {}; // for logs and the status object
+
+    const core::Declarations& declarations() const { return *this->sources.declarations; }
+};
+
+// What the pipeline makes of one run.
+struct Published {
+    core::SteeringTablePointer table {};
+    std::vector<DrainStatus> drains {};
+    std::vector<std::string> warnings {};
+};
+
+// Why a run publishes no table. The last one stays in force.
+enum class Halt : std::uint8_t { NoDeclarations,
+    UnknownDomain };
+
+using Step = core::Outcome<Context, Halt>;
+
+}
+
+template <>
+struct cranberryshed::core::Names<cranberryshed::control::DrainState> {
+    static constexpr std::array<std::string_view, 5> values = { "planned", "draining", "drained", "late", "blocked" };
+};
+
+template <>
+struct cranberryshed::core::Names<cranberryshed::control::Halt> {
+    static constexpr std::array<std::string_view, 2> values = { "no-declarations", "unknown-domain" };
+};
--- a/src/core/declarations.h
+++ b/src/core/declarations.h
@@ -56,6 +56,8 @@
     std::string service;
     WallTime contractEnd {};
     std::string replacement; // the batch that takes over; empty: all others of the service
+    WallTime declaredAt {}; // when the contract end was declared, written by `apply`; 0: unknown, long ago
+    Duration warmUp {}; // time until a new server of the batch takes its full share; 0: the default
 };
 
 // Where callers are. A block belongs to one site; a site is near some regions.
--- a/src/core/hash.cpp
+++ b/src/core/hash.cpp
@@ -1,6 +1,9 @@
 #include "core/hash.h"
 
 #include <array>
+
+// Compiles the hash into this file, so that the program needs no shared library for it.
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 namespace cranberryshed::core {
--- a/src/core/table.h
+++ b/src/core/table.h
@@ -35,6 +35,9 @@
     double headroom = 0; // share of capacity that is kept free, 0 to 1
     std::vector<ServerIndex> servers; // of the service, in the allowed regions
     std::vector<double> regionShares; // by RegionIndex: share of this VM's traffic, sums to 1
+    // By RegionIndex: this VM's largest number of requests in flight there. The own region has no limit
+    // (infinity). What exceeds the limits of the others waits for the own region or is rejected, never moved on.
+    std::vector<double> regionLimits;
 };
 
 // The last load report of a backend server. It may be old or wrong.
@@ -53,7 +56,9 @@
     ServerState state = ServerState::Active;
     std::uint32_t slots = 3; // requests that it runs at the same time
     std::uint32_t connectionLimit = 330;
-    double warmth = 1; // share of its slots that may be used while it warms up, 0 to 1
+    // Share of its usual traffic, 0 to 1: rises while it warms up and falls while its batch is drained. A chooser
+    // accepts the server with this probability and uses at most ceil(warmth * slots) slots. 0: no new work.
+    double warmth = 1;
     bool home = false; // in the part of the servers that this entry VM prefers
     std::optional<LoadReport> report;
     std::uint64_t key = 0; // hash of the name; stable across tables
@@ -73,6 +78,9 @@
 // Maps a caller's address to a site, see lookup/blocks.h.
 class BlockTable;
 
+// The entry VMs that callers of each site should use, see lookup/rank.h.
+class SiteRanks;
+
 // Everything that traffic needs to decide. Control builds a new one and publishes it whole;
 // a published table never changes.
 struct SteeringTable {
@@ -86,6 +94,8 @@
     MemberIndex self;
     bool leaving = false; // this entry VM is shutting down
     std::unordered_set<std::uint64_t> quarantined; // Fingerprint values
+    std::shared_ptr<const BlockTable> blocks; // empty: no caller is known
+    std::shared_ptr<const SiteRanks> ranks;
 
     const ClassEntry& at(ClassIndex index) const { return this->classes[index.value]; }
     const ServerEntry& at(ServerIndex index) const { return this->servers[index.value]; }
--- /dev/null
+++ b/tests/pure/control.cpp
@@ -0,0 +1,76 @@
+#include "control/pipeline.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+namespace core = cranberryshed::core;
+namespace control = cranberryshed::control;
+
+namespace {
+
+control::Sources smallSources()
+{
+    auto declarations = std::make_shared<core::Declarations>();
+    declarations->revision = 7;
+    declarations->regions = { { .name = "jyl", .links = {} }, { .name = "sjl", .links = {} } };
+    declarations->domains = { { .name = "jyl-1", .region = "jyl" }, { .name = "sjl-1", .region = "sjl" } };
+    declarations->classes = { { .name = "stock", .host = {}, .methods = {}, .pathPrefix = "/stock", .service = "ledger", .deadline = std::chrono::seconds(1) } };
+    control::Sources sources { .declarations = declarations, .self = "vm-1", .selfDomain = "jyl-1" };
+    for (int i = 0; i < 4; ++i) {
+        const std::string name = "ledger-" + std::to_string(i);
+        sources.list.servers.push_back({ .name = name, .address = "127.0.0.1:9000", .service = "ledger", .batch = "a", .domain = i % 2 ? "sjl-1" : "jyl-1" });
+    }
+    sources.members = { { .name = "vm-1", .address = "127.0.0.1:8001", .domain = "jyl-1" }, { .name = "vm-2", .address = "127.0.0.1:8002", .domain = "sjl-1" } };
+    return sources;
+}
+
+}
+
+// Guards against a table that refers to servers or members it does not hold.
+TEST_CASE("one run makes a valid table", "[control]")
+{
+    control::ControlPipe pipe { {}, {}, {} };
+    const auto outcome = pipe(smallSources(), core::TimePoint {});
+    REQUIRE_FALSE(outcome.ended());
+    const core::SteeringTable& table = *outcome.output().table;
+    CHECK(table.configurationRevision == 7);
+    REQUIRE(table.classes.size() == 1);
+    CHECK(table.classes[0].servers.size() == 4);
+    CHECK(table.classes[0].regionShares == std::vector<double> { 1, 0 });
+    CHECK(table.at(table.self).name == "vm-1");
+    CHECK(table.servers[0].home);
+    CHECK_FALSE(table.servers[1].home);
+}
+
+// Guards against a new table that forgets requests in flight and lets a server be filled twice.
+TEST_CASE("slot counts outlive a table", "[control]")
+{
+    control::ControlPipe pipe { {}, {}, {} };
+    auto first = pipe(smallSources(), core::TimePoint {});
+    REQUIRE(first.output().table->servers[0].inFlight->tryAcquire(3));
+    auto second = pipe(smallSources(), core::TimePoint {});
+    CHECK(second.output().table->servers[0].inFlight->inFlight() == 1);
+}
+
+// Guards against overlapping or uneven home subsets.
+TEST_CASE("home subsets are disjoint and balanced", "[control]")
+{
+    for (std::size_t members = 1; members <= 30; ++members) {
+        std::vector<std::uint64_t> serverKeys(25);
+        std::vector<std::uint64_t> memberKeys(members);
+        for (std::size_t i = 0; i < serverKeys.size(); ++i)
+            serverKeys[i] = 100 + i;
+        for (std::size_t i = 0; i < members; ++i)
+            memberKeys[i] = 900 + i;
+        std::vector<std::size_t> uses(serverKeys.size(), 0);
+        std::set<std::size_t> sizes;
+        for (const auto& part : control::divideServers(serverKeys, memberKeys)) {
+            sizes.insert(part.size());
+            for (const std::size_t server : part)
+                ++uses[server];
+        }
+        CHECK(*sizes.rbegin() - *sizes.begin() <= 1);
+        const auto [least, most] = std::ranges::minmax(uses);
+        CHECK(most - least <= (members > serverKeys.size() ? 1U : 0U));
+    }
+}
