--- /dev/null
+++ b/src/fleet/pipeline.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "fleet/messages.h"
+#include "fleet/view.h"
+
+#include <string>
+#include <vector>
+
+namespace cranberryshed::fleet {
+
+struct NodeOptions {
+    std::string fleet; // the same text in all members' settings
+    std::string name; // unique in the fleet
+    std::string peerAddress; // "IP:port"; fill in the port that was bound
+    std::string callerAddress; // "IP:port" for callers
+    std::string region;
+    std::string domain;
+    core::Incarnation incarnation {};
+    std::vector<std::string> seeds; // "IP:port" of any members
+    std::uint64_t randomSeed = 0;
+};
+
+// One member's part in the fleet: a pure state machine that the control thread drives.
+//
+// After each call the caller sends what is in the outbox and sets its timer to nextTimer().
+class Node {
+public:
+    Node(NodeOptions, core::TimePoint now);
+
+    // Joins through the seeds. Call once, when the peer address can receive.
+    void start(core::TimePoint now, Outbox&);
+
+    // Takes one message that was received.
+    void handle(Received, core::TimePoint now, Outbox&);
+
+    // Does what is due. A call more than 2 s late is taken for a pause of this process.
+    void due(core::TimePoint now, Outbox&);
+    core::TimePoint nextTimer() const;
+
+    // Takes an object from the store or from an operator. Returns whether it is newer than the known one;
+    // if so, it is sent to other members at the next due(), which nextTimer() then asks for at once.
+    bool publish(core::Object, core::TimePoint now);
+
+    // States something about a key for a limited time. It replaces what was known about that key.
+    void publish(const Item&, core::TimePoint now);
+
+    // The loads of this member. `domain`, `measuredAt` and `members` are filled in here.
+    void setLoad(core::DomainDigest, core::TimePoint now);
+
+    // Announces that this member stops soon (Leaving), and that it stops now (Left).
+    void leave(core::TimePoint now, Outbox&);
+    void depart(core::TimePoint now, Outbox&);
+
+    Snapshot snapshot(core::TimePoint now) const;
+    Changes changes() const;
+
+private:
+    NodeOptions options;
+    std::vector<std::shared_ptr<const core::Object>> objects;
+    Changes changeCount;
+};
+
+}
--- /dev/null
+++ b/src/fleet/sets.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "core/names.h"
+
+#include <cstdint>
+
+namespace cranberryshed::fleet {
+
+// What a gossip item with an expiry is about. The name is the kind of the object that carries it.
+enum class ItemKind : std::uint8_t {
+    Quarantine, // a fingerprint that no backend server may run
+    Suspect, // a fingerprint that was in flight when a backend server broke
+    Ejection, // a backend server that gets no requests for a while
+};
+
+}
+
+template <>
+struct cranberryshed::core::Names<cranberryshed::fleet::ItemKind> {
+    static constexpr std::array<std::string_view, 3> values = { "item.quarantine", "item.suspect", "item.ejection" };
+};
