--- /dev/null
+++ b/src/declare/kinds.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/names.h"
+
+#include <cstdint>
+
+namespace cranberryshed::declare {
+
+// The kinds of objects in the platform's store. Operators write the first seven; the system itself writes
+// status and lease. A vm is a row of the platform's list of VMs, not an object of the store.
+enum class Kind : std::uint8_t {
+    Region,
+    Domain,
+    Class,
+    Target,
+    Batch,
+    Site,
+    Blocks,
+    Vm,
+    Status,
+    Lease,
+};
+
+// How many kinds, from the first, belong to operators.
+constexpr std::size_t operatorKinds = 7;
+
+// The names of those kinds, separated by commas, for messages.
+std::string operatorKindNames();
+
+}
+
+template <>
+struct cranberryshed::core::Names<cranberryshed::declare::Kind> {
+    static constexpr std::array<std::string_view, 10> values = { "region", "domain", "class", "target", "batch", "site", "blocks", "vm", "status", "lease" };
+};
--- /dev/null
+++ b/src/declare/load.cpp
@@ -0,0 +1,188 @@
+#include "declare/load.h"
+
+#include "core/errors.h"
+#include "declare/text.h"
+
+#include <boost/json.hpp>
+#include <cmath>
+
+namespace cranberryshed::declare {
+
+namespace json = boost::json;
+
+namespace {
+
+    // The readers below run after checkContent, so a key that is present has the right type.
+
+    std::string text(const json::object& object, std::string_view key)
+    {
+        const json::value* value = object.if_contains(key);
+        return value ? std::string(value->as_string()) : std::string();
+    }
+
+    double number(const json::object& object, std::string_view key, double otherwise = 0)
+    {
+        const json::value* value = object.if_contains(key);
+        return value ? value->to_number<double>() : otherwise;
+    }
+
+    core::Duration milliseconds(const json::object& object, std::string_view key)
+    {
+        return core::Duration(std::llround(number(object, key) * 1000));
+    }
+
+    std::vector<std::string> texts(const json::object& object, std::string_view key)
+    {
+        std::vector<std::string> list;
+        if (const json::value* value = object.if_contains(key)) {
+            for (const json::value& entry : value->as_array())
+                list.emplace_back(entry.as_string());
+        }
+        return list;
+    }
+
+    core::RegionDeclaration readRegion(const std::string& name, const json::object& content)
+    {
+        core::RegionDeclaration region { .name = name, .links = {} };
+        if (const json::value* links = content.if_contains("links")) {
+            for (const json::value& entry : links->as_array()) {
+                const json::object& link = entry.as_object();
+                region.links.push_back({ .toRegion = text(link, "to"), .oneWayDelay = milliseconds(link, "delayMs"), .capacityMbit = number(link, "capacityMbit") });
+            }
+        }
+        return region;
+    }
+
+    core::ClassDeclaration readClass(const std::string& name, const json::object& content)
+    {
+        return {
+            .name = name,
+            .host = text(content, "host"),
+            .methods = texts(content, "methods"),
+            .pathPrefix = text(content, "pathPrefix"),
+            .service = text(content, "service"),
+            .repeat = *core::parseName<core::Repeat>(text(content, "repeat")),
+            .length = *core::parseName<core::WorkLength>(text(content, "length")),
+            .deadline = milliseconds(content, "deadlineMs"),
+            .typicalBytes = static_cast<std::uint64_t>(number(content, "typicalBytes")),
+        };
+    }
+
+    core::TargetDeclaration readTarget(const json::object& content)
+    {
+        return {
+            .className = text(content, "class"),
+            .latency = milliseconds(content, "latencyMs"),
+            .headroom = number(content, "headroomPercent") / 100,
+            .allowedRegions = texts(content, "allowedRegions"),
+            .shiftCap = number(content, "shiftCapPercentPerMinute") / 100,
+        };
+    }
+
+    void readBlocks(const json::object& content, std::vector<core::BlockDeclaration>& blocks)
+    {
+        std::string site = text(content, "site");
+        for (const json::value& entry : content.at("prefixes").as_array()) {
+            Prefix prefix = *parsePrefix(std::string_view(entry.as_string()));
+            blocks.push_back({ .firstAddress = prefix.firstAddress, .prefixLength = prefix.length, .site = site });
+        }
+    }
+
+    void add(core::Declarations& declarations, Kind kind, const std::string& name, const json::object& content)
+    {
+        switch (kind) {
+        case Kind::Region:
+            declarations.regions.push_back(readRegion(name, content));
+            break;
+        case Kind::Domain:
+            declarations.domains.push_back({ .name = name, .region = text(content, "region"), .oneWayDelay = milliseconds(content, "delayMs") });
+            break;
+        case Kind::Class:
+            declarations.classes.push_back(readClass(name, content));
+            break;
+        case Kind::Target:
+            declarations.targets.push_back(readTarget(content));
+            break;
+        case Kind::Batch:
+            declarations.batches.push_back({ .name = name, .service = text(content, "service"), .contractEnd = *parseTime(text(content, "contractEnd")), .replacement = text(content, "replacement") });
+            break;
+        case Kind::Site:
+            declarations.sites.push_back({ .name = name, .nearestDomains = texts(content, "nearestDomains") });
+            break;
+        case Kind::Blocks:
+            readBlocks(content, declarations.blocks);
+            break;
+        case Kind::Vm:
+        case Kind::Status:
+        case Kind::Lease:
+            break;
+        }
+    }
+
+    core::ServerListing readVm(const std::string& name, const json::object& row)
+    {
+        const json::value* leaving = row.if_contains("leaving");
+        return {
+            .name = name,
+            .address = text(row, "address"),
+            .service = text(row, "service"),
+            .batch = text(row, "batch"),
+            .domain = text(row, "domain"),
+            .leaving = leaving && leaving->as_bool(),
+            .slots = static_cast<std::uint32_t>(number(row, "slots", 3)),
+            .connectionLimit = static_cast<std::uint32_t>(number(row, "connectionLimit", 330)),
+        };
+    }
+
+}
+
+core::Declarations load(std::span<const core::Object> objects, std::vector<Problem>* problems)
+{
+    core::Declarations declarations;
+    for (const core::Object& object : objects) {
+        std::optional<Kind> kind = core::parseName<Kind>(object.kind);
+        if (!kind || static_cast<std::size_t>(*kind) >= operatorKinds)
+            continue;
+        declarations.revision = std::max(declarations.revision, object.version.revision);
+        if (object.deleted)
+            continue;
+        boost::system::error_code error;
+        json::value content = json::parse(object.content, error);
+        std::vector<Problem> faults;
+        if (error)
+            faults.push_back({ object.kind + '/' + object.name, "is not JSON: " + error.message() });
+        else
+            faults = checkContent(*kind, object.name, content, UnknownKeys::Ignore);
+        if (faults.empty())
+            add(declarations, *kind, object.name, content.as_object());
+        else if (problems)
+            problems->insert(problems->end(), faults.begin(), faults.end());
+    }
+    return declarations;
+}
+
+core::ServerList loadServers(std::string_view text, core::TimePoint receivedAt)
+{
+    boost::system::error_code error;
+    json::value value = json::parse(text, error);
+    const json::object* list = value.if_object();
+    const json::value* rows = list ? list->if_contains("vms") : nullptr;
+    const json::value* version = list ? list->if_contains("version") : nullptr;
+    if (error || !rows || !rows->is_array() || !version || !version->is_number())
+        throw core::Error(core::ErrorKind::BadMessage, "the list of VMs is malformed");
+    core::ServerList servers;
+    servers.version = version->to_number<std::uint64_t>(error);
+    servers.receivedAt = receivedAt;
+    for (const json::value& row : rows->as_array()) {
+        const json::object* object = row.if_object();
+        const json::value* name = object ? object->if_contains("name") : nullptr;
+        if (!name || !name->is_string())
+            continue;
+        std::string rowName(name->as_string());
+        if (checkContent(Kind::Vm, rowName, row, UnknownKeys::Ignore).empty())
+            servers.servers.push_back(readVm(rowName, *object));
+    }
+    return servers;
+}
+
+}
--- /dev/null
+++ b/src/declare/print.cpp
@@ -0,0 +1,150 @@
+#include "declare/print.h"
+
+#include "declare/kinds.h"
+#include "declare/text.h"
+
+#include <boost/json.hpp>
+#include <map>
+
+namespace cranberryshed::declare {
+
+namespace json = boost::json;
+
+namespace {
+
+    // Prefixes per object of caller blocks. At up to 21 bytes each an object stays below 700 KB.
+    constexpr std::size_t prefixesPerObject = 32'768;
+
+    double milliseconds(core::Duration duration)
+    {
+        return static_cast<double>(duration.count()) / 1000;
+    }
+
+    json::array textArray(std::span<const std::string> texts)
+    {
+        json::array array;
+        for (const std::string& text : texts)
+            array.emplace_back(text);
+        return array;
+    }
+
+    json::object contentOf(const core::RegionDeclaration& region)
+    {
+        json::array links;
+        for (const core::LinkDeclaration& link : region.links)
+            links.emplace_back(json::object { { "to", link.toRegion }, { "delayMs", milliseconds(link.oneWayDelay) }, { "capacityMbit", link.capacityMbit } });
+        return { { "links", std::move(links) } };
+    }
+
+    json::object contentOf(const core::DomainDeclaration& domain)
+    {
+        return { { "region", domain.region }, { "delayMs", milliseconds(domain.oneWayDelay) } };
+    }
+
+    json::object contentOf(const core::ClassDeclaration& work)
+    {
+        return {
+            { "service", work.service },
+            { "host", work.host },
+            { "methods", textArray(work.methods) },
+            { "pathPrefix", work.pathPrefix },
+            { "repeat", core::nameOf(work.repeat) },
+            { "length", core::nameOf(work.length) },
+            { "deadlineMs", milliseconds(work.deadline) },
+            { "typicalBytes", work.typicalBytes },
+        };
+    }
+
+    json::object contentOf(const core::TargetDeclaration& target)
+    {
+        json::object content {
+            { "class", target.className },
+            { "latencyMs", milliseconds(target.latency) },
+            { "headroomPercent", target.headroom * 100 },
+            { "shiftCapPercentPerMinute", target.shiftCap * 100 },
+        };
+        if (!target.allowedRegions.empty())
+            content["allowedRegions"] = textArray(target.allowedRegions);
+        return content;
+    }
+
+    json::object contentOf(const core::BatchDeclaration& batch)
+    {
+        json::object content { { "service", batch.service }, { "contractEnd", formatTime(batch.contractEnd) } };
+        if (!batch.replacement.empty())
+            content["replacement"] = batch.replacement;
+        return content;
+    }
+
+    json::object contentOf(const core::SiteDeclaration& site)
+    {
+        return { { "nearestDomains", textArray(site.nearestDomains) } };
+    }
+
+    core::Object object(Kind kind, std::string name, const json::object& content, std::uint64_t revision)
+    {
+        return {
+            .kind = std::string(core::nameOf(kind)),
+            .name = std::move(name),
+            .version = { .revision = revision, .version = 0 },
+            .deleted = false,
+            .content = json::serialize(content),
+        };
+    }
+
+    void addBlocks(const core::Declarations& declarations, std::vector<core::Object>& objects)
+    {
+        std::map<std::string_view, std::vector<json::array>> parts;
+        for (const core::BlockDeclaration& block : declarations.blocks) {
+            std::vector<json::array>& site = parts[block.site];
+            if (site.empty() || site.back().size() >= prefixesPerObject)
+                site.emplace_back();
+            site.back().emplace_back(formatPrefix({ .firstAddress = block.firstAddress, .length = block.prefixLength }));
+        }
+        for (auto& [site, list] : parts) {
+            for (std::size_t i = 0; i < list.size(); ++i) {
+                std::string name = std::string(site) + '-' + std::to_string(i + 1);
+                objects.push_back(object(Kind::Blocks, name, { { "site", site }, { "prefixes", std::move(list[i]) } }, declarations.revision));
+            }
+        }
+    }
+
+}
+
+std::vector<core::Object> objectsOf(const core::Declarations& declarations)
+{
+    std::vector<core::Object> objects;
+    auto add = [&](Kind kind, const auto& list) {
+        for (const auto& entry : list)
+            objects.push_back(object(kind, entry.name, contentOf(entry), declarations.revision));
+    };
+    add(Kind::Region, declarations.regions);
+    add(Kind::Domain, declarations.domains);
+    add(Kind::Class, declarations.classes);
+    for (const core::TargetDeclaration& target : declarations.targets)
+        objects.push_back(object(Kind::Target, target.className, contentOf(target), declarations.revision));
+    add(Kind::Batch, declarations.batches);
+    add(Kind::Site, declarations.sites);
+    addBlocks(declarations, objects);
+    return objects;
+}
+
+std::string serversText(std::span<const core::ServerListing> servers, std::uint64_t version)
+{
+    json::array rows;
+    for (const core::ServerListing& server : servers) {
+        rows.emplace_back(json::object {
+            { "name", server.name },
+            { "address", server.address },
+            { "service", server.service },
+            { "batch", server.batch },
+            { "domain", server.domain },
+            { "leaving", server.leaving },
+            { "slots", server.slots },
+            { "connectionLimit", server.connectionLimit },
+        });
+    }
+    return json::serialize(json::object { { "version", version }, { "vms", std::move(rows) } });
+}
+
+}
--- /dev/null
+++ b/src/platform/http_client.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "core/declarations.h"
+#include "platform/http_transport.h"
+#include "platform/policy.h"
+#include "platform/transport.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <span>
+#include <string_view>
+
+namespace cranberryshed::platform {
+
+struct ClientOptions {
+    std::string writer; // id of this process, unique per start
+    std::uint64_t seed = 0; // of delays and nonces
+    core::Duration callDeadline = std::chrono::seconds(2); // of one attempt
+    core::Duration totalDeadline = std::chrono::seconds(10); // of a call with all its attempts
+    BackoffOptions backoff;
+    RateOptions rate;
+    BreakerOptions breaker;
+};
+
+// Calls of the object API, with deadlines, repeated attempts, rate limit and circuit breaker. All use must be on
+// one thread; several calls may be under way at the same time.
+//
+// Each call throws core::Error: StoreUnavailable if the store does not answer (a write then had no effect),
+// BadMessage for an answer or a request that can't be understood.
+template <Transport TransportType>
+class Client {
+public:
+    // The transport must outlive the client, and the client its calls.
+    Client(TransportType& transport, ClientOptions options);
+
+    // Returns the object, or one that is marked as deleted and has no mark if the store has none.
+    boost::asio::awaitable<StoredObject> get(std::string kind, std::string name);
+
+    // All objects of a kind. Deletions are listed as deleted objects.
+    boost::asio::awaitable<ObjectBatch> list(std::string kind);
+
+    // Writes the object with its revision if the store's version of it is `ifVersion` (0: it must not exist).
+    // Also throws WriteUnclear if the write may or may not have taken effect.
+    boost::asio::awaitable<WriteResult> put(core::Object object, std::uint64_t ifVersion);
+    boost::asio::awaitable<WriteResult> remove(core::Object object, std::uint64_t ifVersion);
+
+    // Waits at most `wait` for changes after version `from`; an empty batch if there was none. One attempt only.
+    // Also throws HistoryGone.
+    boost::asio::awaitable<ObjectBatch> watch(std::uint64_t from, core::Duration wait);
+
+    // The platform's list of VMs. It lags.
+    boost::asio::awaitable<core::ServerList> vms();
+
+    // Follows the objects of the kinds for good: hands over what is newer than anything seen before, first from
+    // lists, then from watches. Takes up again after failures and lost history. Ends only by cancellation.
+    // `up` is told whether the store answers, when that changes.
+    boost::asio::awaitable<void> follow(std::vector<std::string> kinds, std::function<void(std::vector<core::Object>)> take, std::function<void(bool)> up = {});
+
+    bool storeIsDown() const { return this->breaker.isOpen(); }
+    core::TimePoint now() const { return this->transport.now(); }
+
+private:
+    boost::asio::awaitable<HttpReply> attempt(HttpRequest request, core::Duration deadline);
+    boost::asio::awaitable<HttpReply> read(std::string target);
+    boost::asio::awaitable<WriteResult> write(HttpRequest request, std::string readTarget, WriteMark mark, std::uint64_t ifVersion);
+    boost::asio::awaitable<std::vector<core::Object>> step(FollowPosition& position, std::span<const std::string> kinds);
+    WriteMark nextMark();
+
+    TransportType& transport;
+    ClientOptions options;
+    core::RandomEngine random;
+    RateLimit rate;
+    CircuitBreaker breaker;
+    SeenVersions followed;
+};
+
+using HttpClient = Client<HttpTransport>;
+
+// Compiled once, in http_client.cpp.
+extern template class Client<HttpTransport>;
+
+}
--- /dev/null
+++ b/src/platform/http_transport.cpp
@@ -0,0 +1,150 @@
+#include "platform/http_transport.h"
+
+#include "core/errors.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+
+namespace cranberryshed::platform {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+    // An idle connection older than this may have been closed by the store just now. A write on it could get lost.
+    constexpr core::Duration longestIdle = std::chrono::seconds(5);
+    constexpr std::size_t mostIdle = 8;
+    // Lists and watches are cut into parts of about 4 MiB by the store.
+    constexpr std::uint64_t largestReply = 16 * 1024 * 1024;
+
+    http::verb verbOf(Verb verb)
+    {
+        switch (verb) {
+        case Verb::Get:
+            return http::verb::get;
+        case Verb::Put:
+            return http::verb::put;
+        case Verb::Delete:
+            return http::verb::delete_;
+        }
+        return http::verb::unknown;
+    }
+
+    tcp::endpoint parseEndpoint(const std::string& text)
+    {
+        std::size_t colon = text.rfind(':');
+        std::uint16_t port = 0;
+        boost::system::error_code error;
+        asio::ip::address address;
+        if (colon != std::string::npos) {
+            address = asio::ip::make_address(text.substr(0, colon), error);
+            std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+        }
+        if (colon == std::string::npos || error || port == 0)
+            throw core::Error(core::ErrorKind::BadSettings, "\"" + text + "\" is not the store's IP address and port");
+        return { address, port };
+    }
+
+}
+
+struct HttpTransport::Connection {
+    explicit Connection(asio::io_context& context)
+        : stream(context)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    core::TimePoint idleSince {};
+};
+
+HttpTransport::HttpTransport(asio::io_context& ioContext, const std::string& storeEndpoint)
+    : context(ioContext)
+    , endpoint(parseEndpoint(storeEndpoint))
+{
+}
+
+HttpTransport::~HttpTransport() = default;
+
+core::TimePoint HttpTransport::now() const
+{
+    return std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now());
+}
+
+asio::awaitable<void> HttpTransport::waitUntil(core::TimePoint time)
+{
+    asio::steady_timer timer(this->context, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+std::shared_ptr<HttpTransport::Connection> HttpTransport::takeIdle()
+{
+    while (!this->idle.empty()) {
+        std::shared_ptr<Connection> connection = std::move(this->idle.back());
+        this->idle.pop_back();
+        if (this->now() - connection->idleSince < longestIdle)
+            return connection;
+    }
+    return nullptr;
+}
+
+asio::awaitable<std::shared_ptr<HttpTransport::Connection>> HttpTransport::connect(core::TimePoint deadline)
+{
+    auto connection = std::make_shared<Connection>(this->context);
+    boost::system::error_code error;
+    connection->stream.expires_at(deadline);
+    co_await connection->stream.async_connect(this->endpoint, asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return nullptr;
+    connection->stream.socket().set_option(tcp::no_delay(true), error);
+    co_return connection;
+}
+
+asio::awaitable<HttpReply> HttpTransport::exchange(HttpRequest request, core::TimePoint deadline)
+{
+    std::shared_ptr<Connection> connection = this->takeIdle();
+    if (!connection)
+        connection = co_await this->connect(deadline);
+    if (!connection || this->closed)
+        co_return HttpReply { .end = ExchangeEnd::NotSent, .status = 0, .body = {} };
+    std::erase_if(this->busy, [](const std::weak_ptr<Connection>& other) { return other.expired(); });
+    this->busy.push_back(connection);
+
+    http::request<http::string_body> message(verbOf(request.verb), request.target, 11, std::move(request.body));
+    message.set(http::field::host, this->endpoint.address().to_string());
+    message.prepare_payload();
+    boost::system::error_code error;
+    connection->stream.expires_at(deadline);
+    co_await http::async_write(connection->stream, message, asio::redirect_error(asio::use_awaitable, error));
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(largestReply);
+    if (!error)
+        co_await http::async_read(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return HttpReply { .end = ExchangeEnd::Lost, .status = 0, .body = {} };
+    if (parser.get().keep_alive() && !this->closed && this->idle.size() < mostIdle) {
+        connection->stream.expires_never();
+        connection->idleSince = this->now();
+        this->idle.push_back(connection);
+    }
+    co_return HttpReply { .end = ExchangeEnd::Answered, .status = parser.get().result_int(), .body = std::move(parser.get().body()) };
+}
+
+void HttpTransport::close()
+{
+    this->closed = true;
+    this->idle.clear();
+    for (const std::weak_ptr<Connection>& entry : this->busy) {
+        if (std::shared_ptr<Connection> connection = entry.lock())
+            connection->stream.close();
+    }
+}
+
+}
--- /dev/null
+++ b/src/platform/policy.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "core/object.h"
+#include "core/types.h"
+#include "platform/store.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace cranberryshed::platform {
+
+// Rules for calls to the store as pure logic. The client (http_client.h) asks them; they do no I/O.
+
+struct BackoffOptions {
+    core::Duration first = std::chrono::milliseconds(100);
+    core::Duration longest = std::chrono::seconds(30);
+};
+
+// Exponentially growing delays. Each is drawn between half and all of the step, so that processes that failed
+// together do not come back together.
+class Backoff {
+public:
+    explicit Backoff(BackoffOptions delays = {})
+        : options(delays)
+    {
+    }
+
+    core::Duration next(core::RandomEngine& random);
+    void reset() { this->failures = 0; }
+
+private:
+    BackoffOptions options;
+    unsigned failures = 0;
+};
+
+struct RateOptions {
+    double perSecond = 20; // calls of this process
+    double burst = 40;
+};
+
+// Limits the calls of one process (token bucket).
+class RateLimit {
+public:
+    explicit RateLimit(RateOptions limits = {})
+        : options(limits)
+        , tokens(limits.burst)
+    {
+    }
+
+    // Takes one call and returns when it may be sent: `now` or later. Calls that wait keep their order.
+    core::TimePoint reserve(core::TimePoint now);
+
+private:
+    RateOptions options;
+    double tokens;
+    std::optional<core::TimePoint> filledAt;
+};
+
+struct BreakerOptions {
+    unsigned failuresToOpen = 5; // in a row
+    BackoffOptions probes = { .first = std::chrono::seconds(1), .longest = std::chrono::seconds(30) };
+};
+
+// Stops calls while the store is down: after some failures in a row, it allows only one probe at a time, at
+// growing intervals, until one succeeds.
+class CircuitBreaker {
+public:
+    explicit CircuitBreaker(BreakerOptions limits = {})
+        : options(limits)
+        , probeDelay(limits.probes)
+    {
+    }
+
+    // Whether a call may be sent now. While open, `true` makes the caller the probe.
+    bool allows(core::TimePoint now);
+    void succeeded();
+    void failed(core::TimePoint now, core::RandomEngine& random);
+    // Ends a call that was allowed but says nothing about the store, such as one that was cancelled.
+    void abandoned() { this->probing = false; }
+
+    bool isOpen() const { return this->openUntil.has_value(); }
+    std::optional<core::TimePoint> nextProbe() const { return this->openUntil; }
+
+private:
+    BreakerOptions options;
+    Backoff probeDelay;
+    unsigned failures = 0;
+    bool probing = false;
+    std::optional<core::TimePoint> openUntil;
+};
+
+// What became of one attempt to write.
+enum class WriteAttempt : std::uint8_t {
+    Written, // The store said so.
+    Conflict, // The store holds another version.
+    NotSent, // The store cannot have run it: no connection, or it refused.
+    Unknown, // The answer was lost, so the write may have taken effect.
+};
+
+enum class WriteStep : std::uint8_t {
+    Send, // Send the same write, with the same mark and condition.
+    ReadBack, // Read the object to find out whose write it holds.
+    Done, // The write took effect.
+    Conflict, // The write did not take effect and never will: another one came first.
+    Unclear, // Another writer's object is there, and ours may or may not have been before it.
+};
+
+// Follows one conditional write through lost answers.
+//
+// Sending a write again is safe, since its condition holds at most once: if the first copy took effect, the
+// second one conflicts with an object that carries this write's own mark.
+class WriteTracker {
+public:
+    WriteTracker(WriteMark ownMark, std::uint64_t expectedVersion)
+        : mark(std::move(ownMark))
+        , ifVersion(expectedVersion)
+    {
+    }
+
+    // Judges an attempt. `current` is the store's object on a conflict; nothing if it has none.
+    WriteStep attempted(WriteAttempt attempt, const std::optional<StoredObject>& current);
+    // Judges the object that was read back; nothing if the store has none.
+    WriteStep readBack(const std::optional<StoredObject>& current);
+
+    // Whether an earlier attempt may have taken effect. Decides which error a given-up write ends with.
+    bool mayHaveRun() const { return this->unknown; }
+
+private:
+    WriteStep judge(const std::optional<StoredObject>& current) const;
+
+    WriteMark mark;
+    std::uint64_t ifVersion;
+    bool unknown = false;
+};
+
+// The highest version of each object that this process has seen. An older one never replaces it, so that a store
+// restored from an old copy has no effect.
+class SeenVersions {
+public:
+    // Returns whether the object is new, and remembers it if so.
+    bool accept(const core::Object& object);
+    std::optional<core::ObjectVersion> seen(std::string_view kind, std::string_view name) const;
+
+private:
+    std::map<std::pair<std::string, std::string>, core::ObjectVersion, std::less<>> versions;
+};
+
+enum class FollowStep : std::uint8_t { List,
+    Watch };
+
+// Decides how a watcher continues: from the version it has reached, or from a list if it has none, if the history
+// since then is gone, or if the store's version went back, which means that an old copy was restored.
+class FollowPosition {
+public:
+    FollowStep step() const { return this->reached ? FollowStep::Watch : FollowStep::List; }
+    std::uint64_t from() const { return this->reached.value_or(0); }
+    void listed(std::uint64_t version) { this->reached = version; }
+    void watched(std::uint64_t version);
+    void historyGone() { this->reached.reset(); }
+
+private:
+    std::optional<std::uint64_t> reached;
+};
+
+}
--- /dev/null
+++ b/src/platform/standin.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "core/declarations.h"
+#include "core/names.h"
+#include "platform/store.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cranberryshed::platform {
+
+// The kinds of calls that the stand-in counts.
+enum class StoreCall : std::uint8_t { Get,
+    List,
+    Put,
+    Delete,
+    Watch,
+    Vms };
+
+// What the stand-in does wrong, on request. All of it may change while it runs.
+struct StandInControl {
+    core::Duration delay {}; // before each answer; a write takes effect before the delay
+    bool refuse = false; // answer 503 to every call, without any effect
+    unsigned loseAnswers = 0; // the next so many writes take effect, but their connection closes without an answer
+    unsigned loseRequests = 0; // the next so many writes have no effect, and their connection closes without an answer
+    core::Duration serverListLag {}; // how late the list of VMs is
+};
+
+struct StandInOptions {
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0; // 0: chosen by the kernel
+};
+
+// The platform's object API for tests and for `dev`: a store in memory behind the same HTTP protocol.
+// Calls are served by coroutines on the io_context; the member functions may be called from any thread.
+// The io_context must outlive it.
+class StandIn {
+public:
+    // Throws core::Error (BadSettings) if it can't listen on the address.
+    StandIn(boost::asio::io_context& context, const StandInOptions& options = {});
+    ~StandIn();
+    StandIn(const StandIn&) = delete;
+    StandIn& operator=(const StandIn&) = delete;
+
+    std::uint16_t port() const;
+    std::string endpoint() const; // "IP:port"
+
+    // Changes what it does wrong.
+    void control(const std::function<void(StandInControl&)>& change);
+    void setServers(std::vector<core::ServerListing> servers);
+
+    // Direct access, as another client would have it, for preparing and checking.
+    WriteResult put(const core::Object& object, std::uint64_t ifVersion, const WriteMark& mark = {});
+    std::vector<StoredObject> list(const std::string& kind) const;
+    std::uint64_t version() const;
+
+    void compactHistory(); // watches from before now get 410
+    void cutWatches(); // closes the connections of all pending watches
+    void keepCopy(); // remembers all objects
+    void restoreCopy(); // goes back to the remembered objects
+
+    std::map<std::string, std::uint64_t> counts() const; // calls by kind since the start or resetCounts
+    void resetCounts();
+    std::size_t pendingWatches() const;
+
+    // Closes the listener and all connections. A stand-in that is down refuses connections.
+    void stop();
+
+    struct State; // standin_state.h
+
+private:
+    std::shared_ptr<State> state;
+};
+
+}
+
+template <>
+struct cranberryshed::core::Names<cranberryshed::platform::StoreCall> {
+    static constexpr std::array<std::string_view, 6> values = { "get", "list", "put", "delete", "watch", "vms" };
+};
--- /dev/null
+++ b/src/platform/store.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "core/object.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cranberryshed::platform {
+
+// The largest content of one object that the store accepts.
+constexpr std::size_t largestContentBytes = 1024 * 1024;
+
+// Identifies one write. The writer's id alone is not enough: an earlier write of the same process may be
+// what the store holds.
+struct WriteMark {
+    std::string writer;
+    std::string nonce;
+
+    bool operator==(const WriteMark&) const = default;
+};
+
+// An object with the mark of the write that made it.
+struct StoredObject {
+    core::Object object;
+    WriteMark mark;
+};
+
+// Objects of one kind or changes of all kinds, with the store's version that they reflect.
+struct ObjectBatch {
+    std::uint64_t version = 0;
+    std::vector<StoredObject> objects;
+};
+
+// The end of a conditional write: the object as it is now in the store, and whether this writer put it there.
+struct WriteResult {
+    bool written = false;
+    StoredObject current; // on a conflict with an absent object: the object's version is 0
+};
+
+}
--- /dev/null
+++ b/src/platform/transport.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "core/types.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <concepts>
+#include <string>
+
+namespace cranberryshed::platform {
+
+enum class Verb : std::uint8_t { Get,
+    Put,
+    Delete };
+
+struct HttpRequest {
+    Verb verb = Verb::Get;
+    std::string target;
+    std::string body;
+};
+
+// How an exchange with the store ended, as far as the connection is concerned.
+enum class ExchangeEnd : std::uint8_t {
+    Answered, // `status` and `body` are valid.
+    NotSent, // No connection, so the store cannot have seen the request.
+    Lost, // The connection broke or the deadline passed after a byte may have been sent.
+};
+
+struct HttpReply {
+    ExchangeEnd end = ExchangeEnd::NotSent;
+    unsigned status = 0;
+    std::string body;
+};
+
+// What the client needs from the outside: exchanges, the time and waiting. Tests pass a mock with its own clock.
+template <typename Candidate>
+concept Transport = requires(Candidate& transport, HttpRequest request, core::TimePoint time)
+{
+    {
+        transport.exchange(request, time)
+        } -> std::same_as<boost::asio::awaitable<HttpReply>>;
+    {
+        transport.waitUntil(time)
+        } -> std::same_as<boost::asio::awaitable<void>>;
+    {
+        transport.now()
+        } -> std::same_as<core::TimePoint>;
+};
+
+}
