--- a/bench/decisions/bench.h
+++ b/bench/decisions/bench.h
@@ -43,5 +43,6 @@
 using Benchmark = void (*)(Report&, std::uint64_t seed);
 
 void admission(Report&, std::uint64_t seed);
+void lookup(Report&, std::uint64_t seed);
 
 }
--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::array rows = {
     Row { "admission", bench::admission },
+    Row { "lookup", bench::lookup },
 };
 
 int usage()
--- a/src/control/publish.cpp
+++ b/src/control/publish.cpp
@@ -1,6 +1,7 @@
 #include "control/publish.h"
 
 #include "core/hash.h"
+#include "lookup/blocks.h"
 
 #include <algorithm>
 #include <limits>
@@ -25,7 +26,7 @@
 
 }
 
-core::Outcome<Published, Halt> Publish::operator()(Context context, core::TimePoint)
+core::Outcome<Published, Halt> Publish::operator()(Context context, core::TimePoint now)
 {
     auto table = std::make_shared<core::SteeringTable>();
     table->generation = ++this->generation;
@@ -35,6 +36,7 @@
     this->addServers(*table, context);
     this->addClasses(*table, context);
     this->addMembers(*table, context);
+    this->addLookup(*table, context, now);
     for (const core::Fingerprint fingerprint : context.sources.quarantined)
         table->quarantined.insert(static_cast<std::uint64_t>(fingerprint));
     return core::Outcome<Published, Halt>::pass({ .table = std::move(table), .drains = std::move(context.drains), .warnings = std::move(context.warnings) });
@@ -107,4 +109,19 @@
     }
 }
 
+// The block table is built again only for new declarations, which takes about half a second for millions of blocks.
+void Publish::addLookup(core::SteeringTable& table, const Context& context, core::TimePoint now)
+{
+    if (context.sources.blocks)
+        table.blocks = context.sources.blocks;
+    else {
+        if (this->blocksFrom != context.sources.declarations) {
+            this->blocks = core::makeBlockTable(context.declarations());
+            this->blocksFrom = context.sources.declarations;
+        }
+        table.blocks = this->blocks;
+    }
+    table.ranks = lookup::makeSiteRanks(table, context.declarations(), this->memberShares.update(table.members, now));
+}
+
 }
--- a/src/control/publish.h
+++ b/src/control/publish.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/sources.h"
+#include "lookup/rank.h"
 
 #include <unordered_map>
 
@@ -16,9 +17,13 @@
     void addServers(core::SteeringTable&, const Context&);
     void addClasses(core::SteeringTable&, const Context&) const;
     void addMembers(core::SteeringTable&, const Context&) const;
+    void addLookup(core::SteeringTable&, const Context&, core::TimePoint now);
 
     std::uint64_t generation = 0;
     std::unordered_map<std::string, std::shared_ptr<core::SlotCount>> slotCounts;
+    lookup::MemberShares memberShares;
+    std::shared_ptr<const core::Declarations> blocksFrom; // the declarations that `blocks` was built from
+    std::shared_ptr<const core::BlockTable> blocks;
 };
 
 }
--- a/src/lookup/pipeline.cpp
+++ b/src/lookup/pipeline.cpp
@@ -4,7 +4,10 @@
 
 namespace {
 
-    constexpr core::Duration timeToLive = std::chrono::seconds(5);
+    // Callers keep an answer for 4 to 6 s: long enough to save look-ups, short enough that they leave a
+    // stopped entry VM within seconds. The spread keeps callers that started together from asking together.
+    constexpr core::Duration shortestTimeToLive = std::chrono::seconds(4);
+    constexpr std::uint32_t timeToLiveSpreadMs = 2000;
 
 }
 
@@ -20,14 +23,21 @@
     return Step::end(core::ErrorKind::NoSuchClass);
 }
 
+Step LocateCaller::operator()(Context context, core::TimePoint) const
+{
+    if (context.table->blocks)
+        context.site = context.table->blocks->siteOf(context.query.caller);
+    return Step::pass(std::move(context));
+}
+
 Step RankMembers::operator()(Context context, core::TimePoint) const
 {
-    const std::vector<core::MemberEntry>& members = context.table->members;
-    for (std::uint32_t i = 0; i < members.size(); ++i) {
-        if (members[i].state == core::MemberState::Alive)
-            context.reply.entries.push_back(core::MemberIndex { i });
+    if (context.table->ranks) {
+        const core::RankedMembers ranked = context.table->ranks->rank(context.site, context.query.caller);
+        context.reply.entries.assign(ranked.members.begin(), ranked.members.begin() + ranked.count);
     }
-    context.reply.timeToLive = timeToLive;
+    const std::uint32_t spread = (static_cast<std::uint32_t>(context.query.caller) * 2654435761U >> 16U) % timeToLiveSpreadMs;
+    context.reply.timeToLive = shortestTimeToLive + std::chrono::milliseconds(spread);
     return Step::pass(std::move(context));
 }
 
--- a/src/lookup/pipeline.h
+++ b/src/lookup/pipeline.h
@@ -3,6 +3,8 @@
 #include "core/errors.h"
 #include "core/pipe.h"
 #include "core/table.h"
+#include "lookup/blocks.h"
+#include "lookup/rank.h"
 
 #include <optional>
 #include <string>
@@ -27,6 +29,7 @@
     Query query;
     core::SteeringTablePointer table;
     core::ClassIndex classIndex {};
+    std::uint8_t site = core::BlockTable::unknownSite;
     Reply reply;
 };
 
@@ -37,11 +40,16 @@
     Step operator()(Context, core::TimePoint now) const;
 };
 
+// Filter: finds the caller's site by its address.
+struct LocateCaller {
+    Step operator()(Context, core::TimePoint now) const;
+};
+
 // Filter: orders the entry VMs for the caller.
 struct RankMembers {
     Step operator()(Context, core::TimePoint now) const;
 };
 
-using LookupPipe = core::Pipe<FindClass, RankMembers>;
+using LookupPipe = core::Pipe<FindClass, LocateCaller, RankMembers>;
 
 }
--- /dev/null
+++ b/src/lookup/rank.cpp
@@ -0,0 +1,252 @@
+#include "lookup/rank.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+
+namespace cranberryshed::core {
+
+namespace {
+
+    // The finalizer of MurmurHash3: cheap enough to run for each candidate of each look-up.
+    std::uint64_t mix(std::uint64_t value)
+    {
+        value = (value ^ (value >> 33U)) * 0xff51afd7ed558ccdULL;
+        value = (value ^ (value >> 33U)) * 0xc4ceb9fe1a85ec53ULL;
+        return value ^ (value >> 33U);
+    }
+
+    struct Best {
+        std::uint64_t score = 0;
+        const SiteRanks::Candidate* candidate = nullptr;
+    };
+
+    // The candidates of the best scores seen, best first.
+    class Top {
+    public:
+        void offer(std::uint64_t score, const SiteRanks::Candidate& candidate)
+        {
+            Best entry { .score = score, .candidate = &candidate };
+            for (Best& place : this->places) {
+                if (!place.candidate || entry.score > place.score)
+                    std::swap(place, entry);
+                if (!entry.candidate)
+                    return;
+            }
+        }
+        const std::array<Best, RankedMembers::limit>& best() const { return this->places; }
+
+    private:
+        std::array<Best, RankedMembers::limit> places {};
+    };
+
+    // Collects the answer: two members in order, then one in another failure domain than the first.
+    class Selection {
+    public:
+        bool full() const { return this->ranked.count == RankedMembers::limit; }
+
+        void offer(const SiteRanks::Candidate& candidate, bool anyDomain)
+        {
+            const auto end = this->ranked.members.begin() + this->ranked.count;
+            if (this->full() || std::find(this->ranked.members.begin(), end, candidate.member) != end)
+                return;
+            if (this->ranked.count == 0)
+                this->firstDomain = candidate.domain;
+            const bool last = this->ranked.count + 1 == RankedMembers::limit;
+            if (last && !anyDomain && !this->otherDomain && candidate.domain == this->firstDomain)
+                return;
+            this->otherDomain |= candidate.domain != this->firstDomain;
+            this->ranked.members[this->ranked.count++] = candidate.member;
+        }
+
+        const RankedMembers& result() const { return this->ranked; }
+
+    private:
+        RankedMembers ranked;
+        std::uint16_t firstDomain = 0;
+        bool otherDomain = false;
+    };
+
+    // Offers the candidates tier by tier, each tier in the caller's order.
+    void walk(const std::vector<SiteRanks::Candidate>& candidates, std::uint64_t callerHash, bool acceptAll, bool anyDomain, Selection& selection)
+    {
+        std::size_t position = 0;
+        while (position < candidates.size() && !selection.full()) {
+            const std::uint16_t tier = candidates[position].tier;
+            Top top;
+            for (; position < candidates.size() && candidates[position].tier == tier; ++position) {
+                const SiteRanks::Candidate& candidate = candidates[position];
+                const std::uint64_t score = mix(candidate.key ^ callerHash);
+                if (acceptAll || static_cast<std::uint32_t>(score) <= candidate.accepted)
+                    top.offer(score, candidate);
+            }
+            for (const Best& place : top.best()) {
+                if (place.candidate)
+                    selection.offer(*place.candidate, anyDomain);
+            }
+        }
+    }
+
+}
+
+RankedMembers SiteRanks::rank(std::uint8_t site, CallerAddress caller) const
+{
+    if (this->sites.empty())
+        return {};
+    const std::vector<Candidate>& candidates = this->sites[std::min<std::size_t>(site, this->sites.size() - 1)];
+    const std::uint64_t callerHash = mix(static_cast<std::uint32_t>(caller) + 0x9e3779b97f4a7c15ULL);
+    Selection selection;
+    walk(candidates, callerHash, false, false, selection);
+    // Too few members accept this caller, or all are in one failure domain.
+    if (!selection.full())
+        walk(candidates, callerHash, true, false, selection);
+    if (!selection.full())
+        walk(candidates, callerHash, true, true, selection);
+    return selection.result();
+}
+
+}
+
+namespace cranberryshed::lookup {
+
+namespace {
+
+    // Callers keep an answer for up to 6 s, so the effect of a change is seen after that.
+    constexpr core::Duration changeInterval = std::chrono::seconds(6);
+    constexpr double changeStep = 0.05; // largest change of a share in one interval
+    constexpr double gain = 0.25; // change of the share per difference of load, below 1 so that it settles
+    constexpr double deadBand = 0.05; // difference of load that changes nothing
+    constexpr double fullLoad = 0.85; // above it a member passes callers on to the next tier
+    constexpr double leastShare = 0.1; // keeps some callers, so that the load of the member stays known
+
+    // A site's nearest failure domain has about 35 members in two years. More than this many candidates a tier
+    // would cost look-up time and change nothing.
+    constexpr std::size_t tierLimit = 40;
+    constexpr std::size_t siteLimit = 64; // candidates of one site
+
+    bool serving(const core::MemberEntry& member)
+    {
+        return member.state == core::MemberState::Alive || member.state == core::MemberState::Suspect;
+    }
+
+    // One-way delay between two failure domains; regions without a declared link count as far.
+    core::Duration delayBetween(const core::Declarations& declarations, const core::SteeringTable& table, std::uint32_t from, std::uint32_t to)
+    {
+        if (from == to)
+            return core::Duration(0);
+        const core::RegionIndex fromRegion = table.domains[from].region;
+        const core::RegionIndex toRegion = table.domains[to].region;
+        if (fromRegion == toRegion)
+            return declarations.domains[from].oneWayDelay;
+        for (const core::LinkDeclaration& link : declarations.regions[fromRegion.value].links) {
+            if (link.toRegion == table.at(toRegion).name)
+                return link.oneWayDelay;
+        }
+        return std::chrono::hours(1);
+    }
+
+    // All failure domains: the given ones first, the others by delay from the first of them.
+    std::vector<std::uint32_t> domainOrder(const core::SteeringTable& table, const core::Declarations& declarations, const std::vector<std::string>& nearest)
+    {
+        std::vector<std::uint32_t> order;
+        for (const std::string& name : nearest) {
+            const auto found = std::ranges::find(table.domains, name, &core::DomainEntry::name);
+            if (found != table.domains.end())
+                order.push_back(static_cast<std::uint32_t>(found - table.domains.begin()));
+        }
+        const std::size_t given = order.size();
+        for (std::uint32_t i = 0; i < table.domains.size(); ++i) {
+            if (std::ranges::find(order, i) == order.end())
+                order.push_back(i);
+        }
+        if (order.empty())
+            return order;
+        const std::uint32_t origin = order.front();
+        std::stable_sort(order.begin() + static_cast<std::ptrdiff_t>(given), order.end(), [&](std::uint32_t a, std::uint32_t b) {
+            return delayBetween(declarations, table, origin, a) < delayBetween(declarations, table, origin, b);
+        });
+        return order;
+    }
+
+    std::vector<std::vector<core::SiteRanks::Candidate>> candidatesByDomain(const core::SteeringTable& table, const std::vector<double>& shares)
+    {
+        std::vector<std::vector<core::SiteRanks::Candidate>> byDomain(table.domains.size());
+        for (std::uint32_t i = 0; i < table.members.size(); ++i) {
+            const core::MemberEntry& member = table.members[i];
+            if (!serving(member))
+                continue;
+            // A suspected member takes no caller while another one is there.
+            const double share = member.state == core::MemberState::Suspect ? 0 : shares[i];
+            byDomain[member.domain.value].push_back({ .key = core::hashBytes(member.name), .member = core::MemberIndex { i }, .accepted = static_cast<std::uint32_t>(share * UINT32_MAX), .tier = 0, .domain = static_cast<std::uint16_t>(member.domain.value) });
+        }
+        return byDomain;
+    }
+
+    std::vector<core::SiteRanks::Candidate> listFor(const std::vector<std::uint32_t>& order, const std::vector<std::vector<core::SiteRanks::Candidate>>& byDomain, std::uint64_t siteKey)
+    {
+        std::vector<core::SiteRanks::Candidate> list;
+        for (std::size_t tier = 0; tier < order.size() && list.size() < siteLimit; ++tier) {
+            std::vector<core::SiteRanks::Candidate> candidates = byDomain[order[tier]];
+            if (candidates.size() > tierLimit) {
+                std::ranges::sort(candidates, std::greater<>(), [&](const core::SiteRanks::Candidate& candidate) { return core::hashCombine(siteKey, candidate.key); });
+                candidates.resize(tierLimit);
+            }
+            for (core::SiteRanks::Candidate& candidate : candidates) {
+                candidate.tier = static_cast<std::uint16_t>(tier);
+                list.push_back(candidate);
+            }
+        }
+        return list;
+    }
+
+}
+
+std::vector<double> MemberShares::update(const std::vector<core::MemberEntry>& members, core::TimePoint now)
+{
+    std::map<core::RegionIndex, std::pair<double, std::size_t>> sums;
+    for (const core::MemberEntry& member : members) {
+        if (!serving(member))
+            continue;
+        auto& [load, count] = sums[member.region];
+        load += member.load;
+        ++count;
+    }
+    const bool due = now >= this->nextChange;
+    if (due)
+        this->nextChange = now + changeInterval;
+    std::unordered_map<std::string, double> kept;
+    std::vector<double> result;
+    for (const core::MemberEntry& member : members) {
+        const auto found = this->shares.find(member.name);
+        double share = found == this->shares.end() ? 1 : found->second;
+        if (due && serving(member)) {
+            const auto& [load, count] = sums[member.region];
+            const double mean = load / static_cast<double>(count);
+            const double excess = std::max(member.load - mean, member.load - fullLoad);
+            if (std::abs(excess) > deadBand)
+                share -= std::clamp(gain * excess, -changeStep, changeStep);
+            share = std::clamp(share, leastShare, 1.0);
+        }
+        kept.emplace(member.name, share);
+        result.push_back(share);
+    }
+    this->shares = std::move(kept);
+    return result;
+}
+
+std::shared_ptr<const core::SiteRanks> makeSiteRanks(const core::SteeringTable& table, const core::Declarations& declarations, const std::vector<double>& shares)
+{
+    const auto byDomain = candidatesByDomain(table, shares);
+    std::vector<std::vector<core::SiteRanks::Candidate>> lists;
+    for (const core::SiteDeclaration& site : declarations.sites)
+        lists.push_back(listFor(domainOrder(table, declarations, site.nearestDomains), byDomain, core::hashBytes(site.name)));
+    std::vector<std::string> own;
+    if (table.self.value < table.members.size())
+        own.push_back(table.at(table.at(table.self).domain).name);
+    lists.push_back(listFor(domainOrder(table, declarations, own), byDomain, 0));
+    return std::make_shared<const core::SiteRanks>(std::move(lists));
+}
+
+}
