Add the entry VM's control loop, dev fleet, caller and load

Cause: the parts need a process that runs them: control thread, traffic threads, stand-ins and a bounded load. Change: src/app; nothing measured yet.

--- /dev/null
+++ b/src/app/control_loop.cpp
@@ -0,0 +1,152 @@
+#include "app/control_loop.h"
+
+#include "declare/load.h"
+#include "declare/servers.h"
+#include "wire/clock.h"
+#include "wire/log.h"
+
+namespace cranberryshed::app {
+
+namespace asio = wire::asio;
+using wire::Task;
+using wire::useResult;
+
+ControlLoop::ControlLoop(asio::io_context& owner, Options loopOptions, TakeTable tableTaker)
+    : context(owner)
+    , options(std::move(loopOptions))
+    , takeTable(std::move(tableTaker))
+    , peerNode(owner, this->options.node)
+    , store(
+          owner, this->options.store,
+          [this](core::Object object) { this->peerNode.publish(std::move(object)); },
+          [this](const core::ServerList& list) { this->peerNode.publish(declare::serversObject(list)); })
+    , health(owner, this->options.health, [this](control::HealthReport report) { this->sources.health.push_back(std::move(report)); })
+    , timer(owner.get_executor())
+{
+    this->sources.self = this->options.node.name;
+    this->sources.selfDomain = this->options.node.domain;
+}
+
+void ControlLoop::start()
+{
+    this->peerNode.start([this] { this->scheduleRun(); });
+    asio::co_spawn(this->context, this->tickLoop(), asio::detached);
+}
+
+void ControlLoop::leave()
+{
+    this->peerNode.leave();
+    this->sources.leaving = true;
+    this->run();
+}
+
+void ControlLoop::stop()
+{
+    this->stopped = true;
+    this->timer.cancel();
+    this->store.stop();
+    this->health.setServers({});
+    this->peerNode.stop();
+}
+
+Task<void> ControlLoop::tickLoop()
+{
+    while (!this->stopped) {
+        this->run();
+        this->timer.expires_after(this->options.interval);
+        co_await this->timer.async_wait(useResult);
+    }
+}
+
+// Several changes at once lead to one run.
+void ControlLoop::scheduleRun()
+{
+    if (std::exchange(this->runScheduled, true))
+        return;
+    asio::post(this->context, [this] {
+        this->runScheduled = false;
+        if (!this->stopped)
+            this->run();
+    });
+}
+
+void ControlLoop::run()
+{
+    const core::TimePoint now = wire::steadyNow();
+    const fleet::Snapshot snapshot = this->peerNode.node().snapshot(now);
+    const fleet::Changes changes = this->peerNode.node().changes();
+    if (!std::exchange(this->objectsRead, true) || changes.objects != this->seen.objects)
+        this->readObjects(snapshot);
+    this->readMembers(snapshot);
+    this->seen = changes;
+    this->store.setWatching(snapshot.watcher);
+    this->sources.digests = snapshot.digests;
+    this->sources.wall = wire::wallNow();
+    core::Outcome outcome = this->pipe(this->sources, now);
+    this->sources.health.clear();
+    this->sources.traffic.clear();
+    if (outcome.ended()) {
+        wire::log(core::LogPart::Control, spdlog::level::debug, "no new steering table: {}", core::nameOf(outcome.answer()));
+        return;
+    }
+    this->published = std::move(outcome.output());
+    this->takeTable(this->published.table);
+    this->pollHomeServers();
+}
+
+void ControlLoop::readObjects(const fleet::Snapshot& snapshot)
+{
+    std::vector<core::Object> declared;
+    for (const std::shared_ptr<const core::Object>& object : snapshot.objects) {
+        const std::optional<core::ServerList> list = declare::serversOf(*object, wire::steadyNow());
+        if (list && list->version > this->sources.list.version)
+            this->sources.list = *list;
+        else if (!list)
+            declared.push_back(*object);
+    }
+    std::vector<declare::Problem> problems;
+    auto declarations = std::make_shared<const core::Declarations>(declare::load(declared, &problems));
+    for (const declare::Problem& problem : problems)
+        wire::log(core::LogPart::Control, spdlog::level::warn, "a declaration is left out: {}: {}", problem.path, problem.text);
+    if (!declarations->classes.empty() || this->sources.declarations)
+        this->sources.declarations = std::move(declarations);
+}
+
+void ControlLoop::readMembers(const fleet::Snapshot& snapshot)
+{
+    this->sources.members.clear();
+    for (const fleet::MemberRecord& member : snapshot.members) {
+        if (member.fact.state == core::MemberState::Left || member.fact.state == core::MemberState::Dead)
+            continue;
+        this->sources.members.push_back({ .name = member.name, .address = member.callerAddress, .domain = member.domain, .state = member.fact.state, .incarnation = member.fact.incarnation });
+    }
+}
+
+void ControlLoop::pollHomeServers()
+{
+    std::map<std::string, std::string> servers;
+    for (const core::ServerEntry& server : this->published.table->servers) {
+        if (server.home)
+            servers.emplace(server.name, server.address);
+    }
+    this->health.setServers(servers);
+}
+
+void ControlLoop::observe(request::Observations observations)
+{
+    for (const request::Observation& observation : observations)
+        std::visit([this](const auto& typed) { this->take(typed); }, observation);
+}
+
+void ControlLoop::take(const request::ServerObserved& observed)
+{
+    this->sources.traffic.push_back({ .server = observed.server, .at = wire::steadyNow(), .result = observed.result, .elapsed = observed.elapsed, .length = observed.length });
+}
+
+void ControlLoop::take(const request::CrashObserved&) { }
+
+void ControlLoop::take(const request::SuspectCleared&) { }
+
+void ControlLoop::take(const request::DemandObserved&) { }
+
+}
--- /dev/null
+++ b/src/app/dev.cpp
@@ -0,0 +1,94 @@
+#include "app/dev.h"
+
+#include "core/errors.h"
+#include "declare/files.h"
+
+namespace cranberryshed::app {
+
+namespace asio = wire::asio;
+
+const std::vector<DevUser>& devUsers()
+{
+    static const std::vector<DevUser> users = {
+        { .name = "foundry", .domains = { "jyl-1", "jyl-2", "jyl-1" }, .services = { "ledger", "mould" } },
+        { .name = "schools", .domains = { "attiki-1", "attiki-2", "attiki-1" }, .services = { "repo-core", "archive-dl" } },
+    };
+    return users;
+}
+
+DevFleet::DevFleet(Options fleetOptions)
+    : options(std::move(fleetOptions))
+    , context(std::make_unique<asio::io_context>(1))
+    , work(asio::make_work_guard(*this->context))
+    , store(std::make_unique<platform::StandIn>(*this->context))
+{
+    for (const std::string& service : this->options.user.services) {
+        for (std::uint32_t i = 0; i < this->options.serversPerService; ++i)
+            this->backends.push_back(std::make_unique<ServerStandIn>(*this->context, ServerStandInOptions { .name = service + '-' + std::to_string(i + 1), .runs = this->runCounter }));
+    }
+    this->declareObjects();
+    this->listServers();
+    for (std::size_t i = 0; i < this->options.user.domains.size(); ++i) {
+        EntryVmOptions vm;
+        vm.fleet = this->options.user.name;
+        vm.name = this->options.user.name + "-entry-" + std::to_string(i + 1);
+        vm.domain = this->options.user.domains[i];
+        vm.storeAddress = this->store->endpoint();
+        vm.trafficThreads = this->options.trafficThreads;
+        vm.seed = this->options.seed * 100 + i;
+        vm.acceptWhileLeaving = std::chrono::seconds(1);
+        if (!this->vms.empty())
+            vm.seeds = { this->vms.front()->peerAddress() };
+        this->vms.push_back(std::make_unique<EntryVm>(std::move(vm)));
+    }
+}
+
+DevFleet::~DevFleet()
+{
+    this->vms.clear();
+    this->work.reset();
+    this->context->stop();
+    if (this->thread.joinable())
+        this->thread.join();
+    this->store.reset();
+    this->backends.clear();
+    this->context.reset();
+}
+
+void DevFleet::start()
+{
+    this->thread = std::thread([this] { this->context->run(); });
+    for (const std::unique_ptr<EntryVm>& vm : this->vms)
+        vm->start();
+}
+
+void DevFleet::declareObjects()
+{
+    const declare::FileObjects files = declare::readFiles({ this->options.examples + '/' + this->options.user.name });
+    if (!files.problems.empty())
+        throw core::Error(core::ErrorKind::BadDeclaration, files.problems.front().path + ": " + files.problems.front().text);
+    std::uint64_t revision = 0;
+    for (core::Object object : files.objects) {
+        object.version.revision = ++revision;
+        this->store->put(object, 0);
+    }
+}
+
+// The servers of a service alternate between the first two failure domains.
+void DevFleet::listServers()
+{
+    std::vector<core::ServerListing> rows;
+    for (std::size_t i = 0; i < this->backends.size(); ++i) {
+        const std::string& service = this->options.user.services[i / this->options.serversPerService];
+        rows.push_back({
+            .name = this->backends[i]->name(),
+            .address = this->backends[i]->address(),
+            .service = service,
+            .batch = service + "-dev",
+            .domain = this->options.user.domains[i % 2],
+        });
+    }
+    this->store->setServers(std::move(rows));
+}
+
+}
--- /dev/null
+++ b/src/app/health.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "control/sources.h"
+#include "wire/asio.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cranberryshed::app {
+
+// Asks the health endpoints of some backend servers at an interval, each on a connection of its own.
+// Runs on the control thread.
+class HealthPoller {
+public:
+    struct Options {
+        core::Duration interval = std::chrono::seconds(1);
+        core::Duration timeout = std::chrono::seconds(1);
+        std::string path = "/health";
+    };
+
+    using Report = std::function<void(control::HealthReport)>;
+
+    HealthPoller(wire::asio::io_context&, Options, Report);
+    ~HealthPoller();
+    HealthPoller(const HealthPoller&) = delete;
+    HealthPoller& operator=(const HealthPoller&) = delete;
+
+    // Polls exactly these servers from now on: name to "IP:port".
+    void setServers(const std::map<std::string, std::string>&);
+
+private:
+    struct Probe;
+
+    wire::Task<void> poll(std::shared_ptr<Probe>);
+
+    wire::asio::io_context& context;
+    Options options;
+    Report report;
+    std::map<std::string, std::shared_ptr<Probe>> probes;
+};
+
+}
--- /dev/null
+++ b/src/app/metrics.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "app/control_loop.h"
+#include "wire/traffic_metrics.h"
+
+#include <string>
+
+namespace cranberryshed::app {
+
+// All metrics of one entry VM in the Prometheus text format.
+std::string metricsText(const ControlLoop&, const wire::TrafficMetrics&);
+
+}
--- a/src/app/server_standin.cpp
+++ b/src/app/server_standin.cpp
@@ -76,11 +76,11 @@
         wire::beast::flat_buffer buffer;
     };
 
-    void listen(const wire::tcp::endpoint& endpoint)
+    void listen(const wire::tcp::endpoint& wanted)
     {
-        this->acceptor.open(endpoint.protocol());
+        this->acceptor.open(wanted.protocol());
         this->acceptor.set_option(asio::socket_base::reuse_address(true));
-        this->acceptor.bind(endpoint);
+        this->acceptor.bind(wanted);
         this->acceptor.listen();
         this->endpoint = this->acceptor.local_endpoint();
         asio::co_spawn(this->context, acceptLoop(this->shared_from_this()), asio::detached);
--- /dev/null
+++ b/src/app/store_sync.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "core/declarations.h"
+#include "core/object.h"
+#include "platform/http_client.h"
+#include "platform/http_transport.h"
+#include "wire/asio.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cranberryshed::app {
+
+// This entry VM's reading from the platform's store, while it is one of the watchers of its failure domain.
+// Runs on the control thread.
+class StoreSync {
+public:
+    struct Options {
+        std::string endpoint; // "IP:port" of the object API
+        std::string writer; // unique per start of the process
+        std::uint64_t seed = 0;
+        core::Duration listInterval = std::chrono::seconds(2); // between two reads of the list of VMs
+    };
+
+    using TakeObject = std::function<void(core::Object)>;
+    using TakeServers = std::function<void(const core::ServerList&)>;
+
+    StoreSync(wire::asio::io_context&, Options, TakeObject, TakeServers);
+    ~StoreSync();
+    StoreSync(const StoreSync&) = delete;
+    StoreSync& operator=(const StoreSync&) = delete;
+
+    // Starts or ends the watch.
+    void setWatching(bool);
+
+    bool storeIsUp() const { return this->up; }
+    platform::HttpClient& client() { return this->httpClient; }
+    void stop();
+
+private:
+    wire::asio::awaitable<void> readServers(std::shared_ptr<bool> active);
+
+    wire::asio::io_context& context;
+    Options options;
+    TakeObject takeObject;
+    TakeServers takeServers;
+    platform::HttpTransport transport;
+    platform::HttpClient httpClient;
+    std::shared_ptr<wire::asio::cancellation_signal> cancelFollow;
+    std::shared_ptr<bool> activeFlag;
+    bool up = false;
+};
+
+}
--- a/src/core/pipe.h
+++ b/src/core/pipe.h
@@ -51,6 +51,8 @@
 template <typename... Filters>
 class Pipe {
 public:
+    Pipe() = default;
+
     explicit Pipe(Filters... filterList)
         : filters(std::forward<Filters>(filterList)...)
     {
--- /dev/null
+++ b/src/wire/admin.cpp
@@ -0,0 +1,86 @@
+#include "wire/admin.h"
+
+#include "wire/header.h"
+
+namespace cranberryshed::wire {
+
+namespace {
+
+constexpr std::uint32_t headerLimit = 8 * 1024; // bytes
+constexpr std::chrono::seconds timeout(10);
+
+}
+
+struct AdminServer::State {
+    explicit State(asio::io_context& owner)
+        : context(owner)
+        , acceptor(owner.get_executor())
+    {
+    }
+
+    asio::io_context& context;
+    Acceptor acceptor;
+    std::map<std::string, Page> pages;
+};
+
+AdminServer::AdminServer(asio::io_context& context, const tcp::endpoint& endpoint)
+    : state(std::make_shared<State>(context))
+{
+    this->state->acceptor.open(endpoint.protocol());
+    this->state->acceptor.set_option(asio::socket_base::reuse_address(true));
+    this->state->acceptor.bind(endpoint);
+    this->state->acceptor.listen();
+    asio::co_spawn(context, acceptLoop(this->state), asio::detached);
+}
+
+void AdminServer::addPage(const std::string& path, Page page)
+{
+    this->state->pages.emplace(path, std::move(page));
+}
+
+tcp::endpoint AdminServer::endpoint() const
+{
+    return this->state->acceptor.local_endpoint();
+}
+
+void AdminServer::stop()
+{
+    error_code ignored;
+    this->state->acceptor.close(ignored);
+}
+
+Task<void> AdminServer::acceptLoop(std::shared_ptr<State> state)
+{
+    for (;;) {
+        Socket socket(state->context.get_executor());
+        auto [error] = co_await state->acceptor.async_accept(socket, useResult);
+        if (error)
+            co_return;
+        asio::co_spawn(state->context, serve(state, std::make_shared<Stream>(std::move(socket))), asio::detached);
+    }
+}
+
+Task<void> AdminServer::serve(std::shared_ptr<State> state, std::shared_ptr<Stream> stream)
+{
+    beast::flat_buffer buffer;
+    for (bool more = true; more;) {
+        http::request_parser<http::empty_body> parser;
+        parser.header_limit(headerLimit);
+        stream->expires_after(timeout);
+        auto [readError, readCount] = co_await http::async_read(*stream, buffer, parser, useResult);
+        if (readError)
+            co_return;
+        const std::string target(parser.get().target());
+        const auto found = state->pages.find(target.substr(0, target.find('?')));
+        TextResponse response = errorResponse(core::ErrorKind::NotFound);
+        if (found != state->pages.end() && parser.get().method() == http::verb::get)
+            response = co_await found->second();
+        response.keep_alive(parser.keep_alive());
+        response.prepare_payload();
+        stream->expires_after(timeout);
+        auto [writeError, writeCount] = co_await http::async_write(*stream, response, useResult);
+        more = !writeError && parser.keep_alive();
+    }
+}
+
+}
--- /dev/null
+++ b/src/wire/admin.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "wire/answer.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cranberryshed::wire {
+
+// A small HTTP server for operators, on the control thread: `GET PATH` calls the function for that path.
+class AdminServer {
+public:
+    using Page = std::function<Task<TextResponse>()>;
+
+    // Listens at once. Throws boost::system::system_error if the address cannot be bound.
+    AdminServer(asio::io_context&, const tcp::endpoint&);
+
+    // Call before the io_context runs.
+    void addPage(const std::string& path, Page);
+    tcp::endpoint endpoint() const;
+    void stop();
+
+private:
+    struct State;
+    static Task<void> acceptLoop(std::shared_ptr<State>);
+    static Task<void> serve(std::shared_ptr<State>, std::shared_ptr<Stream>);
+
+    std::shared_ptr<State> state;
+};
+
+}
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -4,7 +4,6 @@
 #include "wire/log.h"
 #include "wire/session.h"
 
-#include <future>
 
 namespace cranberryshed::wire {
 
@@ -24,7 +23,7 @@
     , work(asio::make_work_guard(*this->context))
     , currentTable(std::make_shared<core::SteeringTable>())
     , engine(this->options.engine, {}, this->options.seed)
-    , lookups(lookup::FindClass {}, lookup::RankMembers {})
+    , lookups(lookup::FindClass {}, lookup::LocateCaller {}, lookup::RankMembers {})
     , pool(this->options.pool)
 {
     this->engine.setTable(this->currentTable);
@@ -61,26 +60,17 @@
     this->thread = std::thread([this] { this->context->run(); });
 }
 
-void Worker::stop(core::Duration limit)
-{
-    std::promise<void> finished;
-    asio::co_spawn(
-        *this->context, [&]() -> Task<void> {
-            this->closing = true;
-            if (this->acceptor)
-                this->acceptor->close();
-            if (!this->exchanges.empty()) {
-                this->drainTimer = std::make_unique<Timer>(this->executor());
-                this->drainTimer->expires_after(limit);
-                co_await this->drainTimer->async_wait(useResult);
-                this->drainTimer.reset();
-            }
-            finished.set_value();
-        },
-        asio::detached);
-    finished.get_future().wait();
-    this->context->stop();
-    this->thread.join();
+Task<void> Worker::drain(core::Duration limit)
+{
+    this->closing = true;
+    if (this->acceptor)
+        this->acceptor->close();
+    if (this->exchanges.empty())
+        co_return;
+    this->drainTimer = std::make_unique<Timer>(this->executor());
+    this->drainTimer->expires_after(limit);
+    co_await this->drainTimer->async_wait(useResult);
+    this->drainTimer.reset();
 }
 
 void Worker::setTable(core::SteeringTablePointer newTable)
--- a/src/wire/worker.h
+++ b/src/wire/worker.h
@@ -8,8 +8,6 @@
 #include "wire/pool.h"
 #include "wire/traffic_metrics.h"
 
-#include <atomic>
-#include <functional>
 #include <thread>
 #include <unordered_map>
 
@@ -18,7 +16,7 @@
 using TrafficEngine = request::Engine<request::RoundRobin>;
 
 // One traffic thread: its io_context, its part of the caller connections, its request engine.
-// Everything but `post`, `setTable` and `stop` is called on that thread only.
+// Everything but `post`, `setTable` and `executor` is called on that thread only.
 class Worker {
 public:
     struct Options {
@@ -40,9 +38,9 @@
 
     void start();
 
-    // Closes the listening socket and returns once no request is in flight or the time is over.
-    // Call from another thread; blocks it.
-    void stop(core::Duration limit);
+    // Closes the listening socket and completes once no request is in flight or the time is over.
+    // Spawn it on this worker's executor.
+    Task<void> drain(core::Duration limit);
 
     // Uses this table from the next event on. Safe from any thread.
     void setTable(core::SteeringTablePointer);
@@ -95,7 +93,7 @@
     TrafficMetrics trafficMetrics;
     std::unordered_map<core::RequestId, std::shared_ptr<Exchange>> exchanges;
     std::shared_ptr<Acceptor> acceptor;
-    std::unique_ptr<Timer> drainTimer; // set while `stop` waits for the requests in flight
+    std::unique_ptr<Timer> drainTimer; // set while `drain` waits for the requests in flight
     std::uint64_t lastRequest = 0;
     std::size_t connectionCount = 0;
     bool closing = false;
