--- a/src/declare/kinds.h
+++ b/src/declare/kinds.h
@@ -3,6 +3,7 @@
 #include "core/names.h"
 
 #include <cstdint>
+#include <string>
 
 namespace cranberryshed::declare {
 
--- a/src/platform/standin_http.cpp
+++ b/src/platform/standin_http.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
 
@@ -118,6 +119,7 @@
     Answer page(std::uint64_t version, const StandInStore::Part& part, const std::string& next)
     {
         std::vector<std::string> objects;
+        objects.reserve(part.objects.size());
         for (const StandInStore::Pointer& object : part.objects)
             objects.push_back(encodeObject(*object));
         return { .status = http::status::ok, .body = encodePage(version, objects, next), .lost = false };
--- a/src/platform/standin_state.h
+++ b/src/platform/standin_state.h
@@ -5,6 +5,7 @@
 #include "platform/standin_store.h"
 
 #include <atomic>
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
