--- /dev/null
+++ b/src/request/answer.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "request/state.h"
+
+namespace cranberryshed::request {
+
+// The head of an answer to an attempt of a request that has not ended.
+struct AnswerHead {
+    AnswerStarted event;
+    Attempt* attempt = nullptr;
+    Active* request = nullptr;
+};
+
+// Filter: finds the attempt and its request. Late and crossed events are ignored: an answer reaches only the
+// request for which its attempt was sent.
+struct FindAnswered {
+    State& state;
+
+    Next<AnswerHead> operator()(AnswerStarted event, core::TimePoint now) const
+    {
+        const auto found = this->state.attempts.find(event.attempt);
+        if (found == this->state.attempts.end() || found->second.request != event.request || found->second.headAt)
+            return Next<AnswerHead>::end({});
+        found->second.headAt = now;
+        Active* request = this->state.find(event.request);
+        if (!request || found->second.cancelledAt || request->relayed)
+            return Next<AnswerHead>::end({});
+        return Next<AnswerHead>::pass({ .event = event, .attempt = &found->second, .request = request });
+    }
+};
+
+// Filter: lets the first answer through and cancels the other attempts.
+struct Relay {
+    State& state;
+
+    Next<Done> operator()(AnswerHead head, core::TimePoint now) const
+    {
+        Active& request = *head.request;
+        request.relayed = head.event.attempt;
+        request.actAt.reset();
+        if (request.context.keyClaimed)
+            this->state.shared.keys->finish(request.context.arrival.key, head.event.status);
+        this->state.cancelAttempts(request, now);
+        if (!request.callerGone) {
+            this->state.emit(RelayAnswer { .request = head.event.request, .attempt = head.event.attempt });
+            return Next<Done>::end({});
+        }
+        // The outcome is known now, and nobody waits for the rest of the answer.
+        head.attempt->cancelledAt = now;
+        this->state.emit(CancelAttempt { .request = head.event.request, .attempt = head.event.attempt });
+        this->state.finish(request, now);
+        return Next<Done>::end({});
+    }
+};
+
+}
--- /dev/null
+++ b/src/request/attempt_end.cpp
@@ -0,0 +1,128 @@
+#include "request/attempt_end.h"
+
+#include <algorithm>
+
+namespace cranberryshed::request {
+
+namespace {
+
+    constexpr double holdWeight = 0.05; // of a new sample in the mean time that an attempt holds a slot
+
+    bool surelyNotRun(core::AttemptResult result)
+    {
+        return result == core::AttemptResult::Refused || result == core::AttemptResult::ConnectFailed;
+    }
+
+    core::ErrorKind errorFor(core::AttemptResult result)
+    {
+        switch (result) {
+        case core::AttemptResult::Refused:
+            return core::ErrorKind::ServerRefused;
+        case core::AttemptResult::ConnectFailed:
+            return core::ErrorKind::ServerUnreachable;
+        case core::AttemptResult::TimedOut:
+            return core::ErrorKind::DeadlinePassed;
+        case core::AttemptResult::Answered:
+        case core::AttemptResult::Broken:
+        case core::AttemptResult::Cancelled:
+            break;
+        }
+        return core::ErrorKind::ServerBroke;
+    }
+
+}
+
+Next<EndedAttempt> TakeAttempt::operator()(AttemptEnded event, core::TimePoint) const
+{
+    const auto found = this->state.attempts.find(event.attempt);
+    if (found == this->state.attempts.end() || found->second.request != event.request)
+        return Next<EndedAttempt>::end({});
+    EndedAttempt ended { .event = event, .attempt = std::move(found->second) };
+    this->state.attempts.erase(found);
+    return Next<EndedAttempt>::pass(std::move(ended));
+}
+
+Next<EndedAttempt> ReleaseSlot::operator()(EndedAttempt ended, core::TimePoint) const
+{
+    this->state.release(ended.attempt);
+    return Next<EndedAttempt>::pass(std::move(ended));
+}
+
+Next<EndedAttempt> RecordResult::operator()(EndedAttempt ended, core::TimePoint now) const
+{
+    const Attempt& attempt = ended.attempt;
+    const core::ServerEntry& server = attempt.serverEntry();
+    const core::Duration elapsed = attempt.headAt.value_or(now) - attempt.sentAt;
+    ClassMemory& memory = *attempt.memory;
+    this->state.servers.record(server.key, ended.event.result, ended.event.retryAfter, now);
+    this->state.observe(ServerObserved { .server = server.name, .result = ended.event.result, .elapsed = elapsed, .length = memory.length });
+    if (ended.event.result == core::AttemptResult::Answered) {
+        const auto held = static_cast<double>((now - attempt.sentAt).count());
+        memory.holdMicroseconds += (held - memory.holdMicroseconds) * (memory.holdMicroseconds == 0 ? 1 : holdWeight);
+        memory.headTime.add(elapsed);
+        memory.retryBudget.onSuccess();
+        memory.hedgeBudget.onSuccess();
+    }
+    return Next<EndedAttempt>::pass(std::move(ended));
+}
+
+Next<EndedAttempt> JudgeCrash::operator()(EndedAttempt ended, core::TimePoint now) const
+{
+    const Attempt& attempt = ended.attempt;
+    CrashBook& book = *this->state.shared.crashes;
+    if (ended.event.result == core::AttemptResult::Answered) {
+        if (book.onSuccess(attempt.fingerprint, *this->state.table, now))
+            this->state.observe(SuspectCleared { .fingerprint = attempt.fingerprint });
+        return Next<EndedAttempt>::pass(std::move(ended));
+    }
+    if (ended.event.result != core::AttemptResult::Broken || attempt.headAt)
+        return Next<EndedAttempt>::pass(std::move(ended));
+    const std::uint64_t server = attempt.serverEntry().key;
+    CrashObserved crash { .server = attempt.serverEntry().name, .inFlight = { attempt.fingerprint }, .isolated = attempt.isolated };
+    for (const auto& [id, other] : this->state.attempts) {
+        if (other.serverEntry().key == server)
+            crash.inFlight.push_back(other.fingerprint);
+    }
+    for (core::Fingerprint fingerprint : crash.inFlight)
+        book.onCrash(fingerprint, attempt.isolated && fingerprint == attempt.fingerprint, now);
+    this->state.observe(std::move(crash));
+    return Next<EndedAttempt>::pass(std::move(ended));
+}
+
+Next<Done> Conclude::operator()(EndedAttempt ended, core::TimePoint now) const
+{
+    Active* request = this->state.find(ended.event.request);
+    if (request && std::erase(request->live, ended.event.attempt) > 0)
+        this->concludeLive(*request, ended, now);
+    return Next<Done>::pass({});
+}
+
+void Conclude::concludeLive(Active& request, const EndedAttempt& ended, core::TimePoint now) const
+{
+    if (request.relayed)
+        return this->state.finish(request, now);
+    if (!surelyNotRun(ended.event.result))
+        request.mayHaveRun = true;
+    if (!request.live.empty())
+        return;
+    if (request.callerGone)
+        return this->state.finish(request, now);
+    this->retryOrReject(request, ended, now);
+}
+
+// A complete answer without AnswerStarted is a fault of the front end; the request was run, so it ends here.
+void Conclude::retryOrReject(Active& request, const EndedAttempt& ended, core::TimePoint now) const
+{
+    const Context& context = request.context;
+    const FailedAttempt failed { .result = ended.event.result, .repeat = context.classEntry().repeat, .mayHaveRun = request.mayHaveRun, .replayable = context.arrival.replayable, .answerStarted = false, .attempts = static_cast<unsigned>(request.tried.size()), .deadline = context.deadline };
+    std::optional<core::Duration> delay;
+    if (ended.event.result != core::AttemptResult::Answered)
+        delay = retryDelay(failed, this->state.options.retry, request.memory->retryBudget, this->state.random, now);
+    if (!delay)
+        return this->state.reject(request, errorFor(ended.event.result), now, ended.event.retryAfter);
+    request.phase = Phase::Backoff;
+    request.actAt = now + *delay;
+    this->state.arm(request);
+}
+
+}
--- /dev/null
+++ b/src/request/attempt_end.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "request/state.h"
+
+namespace cranberryshed::request {
+
+// An attempt that ended and has left State::attempts.
+struct EndedAttempt {
+    AttemptEnded event;
+    Attempt attempt;
+};
+
+// Filter: takes out the attempt. An event that comes twice, late, or with another request's id is ignored.
+struct TakeAttempt {
+    State& state;
+
+    Next<EndedAttempt> operator()(AttemptEnded event, core::TimePoint now) const;
+};
+
+// Filter: gives the slot back.
+struct ReleaseSlot {
+    State& state;
+
+    Next<EndedAttempt> operator()(EndedAttempt ended, core::TimePoint now) const;
+};
+
+// Filter: remembers how the server and the class are doing, and tells control.
+struct RecordResult {
+    State& state;
+
+    Next<EndedAttempt> operator()(EndedAttempt ended, core::TimePoint now) const;
+};
+
+// Filter: makes suspects of what ran on a server that broke a connection without an answer, and clears a
+// suspect that was answered.
+struct JudgeCrash {
+    State& state;
+
+    Next<EndedAttempt> operator()(EndedAttempt ended, core::TimePoint now) const;
+};
+
+// Filter, the last one: ends the request, or plans its next attempt.
+struct Conclude {
+    State& state;
+
+    Next<Done> operator()(EndedAttempt ended, core::TimePoint now) const;
+
+private:
+    void concludeLive(Active&, const EndedAttempt&, core::TimePoint now) const;
+    void retryOrReject(Active&, const EndedAttempt&, core::TimePoint now) const;
+};
+
+}
--- /dev/null
+++ b/src/request/choose_server.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "request/choose.h"
+#include "request/enrol.h"
+
+#include <algorithm>
+
+namespace cranberryshed::request {
+
+// A launch with its server, whose slot is taken.
+struct Chosen {
+    Launch launch;
+    core::ServerIndex server {}; // of the request's table
+    bool isolated = false;
+};
+
+// Filter: takes a slot on a server that was not tried for this request. Without one the request waits.
+template <Chooser ChooserType>
+struct ChooseServer {
+    State& state;
+    ChooserType& chooser;
+
+    Next<Chosen> operator()(Launch launch, core::TimePoint now) const
+    {
+        Active& request = *launch.request;
+        const Context& context = request.context;
+        Exclusions excluded;
+        if (!request.tried.empty() || !this->state.servers.allWell())
+            excluded = this->state.servers.exclusions(*context.table, context.classIndex, request.tried, now);
+        if (excluded.anyLeft) {
+            const std::optional<core::ServerIndex> server = this->chooser.choose(*context.table, context.classIndex, excluded.servers, this->state.random, now);
+            if (server)
+                return Next<Chosen>::pass({ .launch = launch, .server = *server });
+        }
+        if (launch.reason == LaunchReason::First || launch.reason == LaunchReason::Retry)
+            this->waitOrReject(request, excluded, now);
+        return Next<Chosen>::end({});
+    }
+
+private:
+    void waitOrReject(Active& request, const Exclusions& excluded, core::TimePoint now) const
+    {
+        const core::ClassEntry& entry = request.context.classEntry();
+        if (excluded.retryAfter && !excluded.anyLeft)
+            return this->state.reject(request, core::ErrorKind::ServerRefused, now, excluded.retryAfter);
+        const bool usable = std::ranges::any_of(entry.servers, [&](core::ServerIndex index) { return takesWork(request.context.table->at(index)); });
+        if (!usable || !excluded.anyLeft)
+            return this->state.reject(request, core::ErrorKind::NoServer, now);
+        this->wait(request, now);
+    }
+
+    void wait(Active& request, core::TimePoint now) const
+    {
+        const ClassMemory& memory = *request.memory;
+        const RequestArrived& arrival = request.context.arrival;
+        const core::Duration hold(static_cast<core::Duration::rep>(memory.holdMicroseconds));
+        const WaitingRequest waiting { .request = arrival.request, .pool = memory.pool, .classKey = memory.key, .caller = arrival.caller, .arrival = now, .deadline = request.context.deadline, .serviceTime = hold };
+        const Offer offer = this->state.queue.offer(waiting, this->state.laneInFlight(memory), now);
+        if (offer.refusal)
+            return this->state.reject(request, *offer.refusal, now);
+        request.phase = Phase::Queued;
+        request.actAt.reset();
+        this->state.arm(request);
+        if (Active* evicted = offer.evicted ? this->state.find(*offer.evicted) : nullptr) {
+            evicted->phase = Phase::Starting; // it has left the queue
+            this->state.reject(*evicted, core::ErrorKind::Overloaded, now);
+        }
+    }
+};
+
+}
--- /dev/null
+++ b/src/request/claim_key.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "request/state.h"
+
+namespace cranberryshed::request {
+
+// Filter: lets a request of a non-idempotent class pass only as the owner of its key. It comes after every
+// filter that may refuse the request, because a refusal after it would have to give the key back.
+struct ClaimKey {
+    State& state;
+
+    Step operator()(Context context, core::TimePoint now) const
+    {
+        if (context.classEntry().repeat == core::Repeat::Idempotent)
+            return Step::pass(std::move(context));
+        KeyLedger& keys = *this->state.shared.keys;
+        const RequestArrived& arrival = context.arrival;
+        if (arrival.key.empty())
+            return Step::end({ .request = arrival.request, .error = core::ErrorKind::KeyRequired, .key = keys.issue(now), .retryAfter = {} });
+        const KeyClaim claim = keys.claim(arrival.key, context.fingerprint, now);
+        if (claim.refusal)
+            return Step::end({ .request = arrival.request, .error = *claim.refusal, .key = {}, .retryAfter = {}, .earlierStatus = claim.earlierStatus });
+        context.keyClaimed = true;
+        return Step::pass(std::move(context));
+    }
+};
+
+}
--- a/src/request/classify.h
+++ b/src/request/classify.h
@@ -2,6 +2,7 @@
 
 #include "core/pipe.h"
 #include "request/context.h"
+#include "request/fingerprint.h"
 #include "request/match.h"
 
 #include <algorithm>
@@ -13,12 +14,11 @@
     Step operator()(Context context, core::TimePoint now) const
     {
         const RequestArrived& arrival = context.arrival;
-        if (context.table->leaving)
-            return Step::end({ .request = arrival.request, .error = core::ErrorKind::ShuttingDown, .key = {}, .retryAfter = {} });
         const std::optional<core::ClassIndex> found = matchClass(*context.table, arrival.host, arrival.method, arrival.target);
         if (!found)
             return Step::end({ .request = arrival.request, .error = core::ErrorKind::NoSuchClass, .key = {}, .retryAfter = {} });
         context.classIndex = *found;
+        context.fingerprint = withClass(arrival.fingerprint, context.classEntry().name);
         const core::Duration allowed = context.classEntry().deadline;
         context.deadline = now + std::min(arrival.deadline.value_or(allowed), allowed);
         return Step::pass(std::move(context));
--- a/src/request/crash.cpp
+++ b/src/request/crash.cpp
@@ -9,51 +9,75 @@
 {
 }
 
-Standing CrashBook::onCrash(core::Fingerprint fingerprint, bool isolated, core::TimePoint now)
+Standing CrashBook::onCrash(core::Fingerprint fingerprint, bool isolatedRun, core::TimePoint now)
 {
+    const std::lock_guard lock(this->mutex);
+    const bool held = this->ownStanding(fingerprint, now) == Standing::Quarantined;
     if (!this->entries.contains(fingerprint))
         this->makeRoom();
     Entry& entry = this->entries[fingerprint];
-    const bool held = entry.standing == Standing::Quarantined && entry.until > now;
-    if (isolated || held)
+    if (isolatedRun)
         entry = { .standing = Standing::Quarantined, .until = now + this->options.quarantine };
-    else
+    else if (!held)
         entry = { .standing = Standing::Suspect, .until = now + this->options.suspicion };
+    this->empty = false;
     return entry.standing;
 }
 
 bool CrashBook::onSuccess(core::Fingerprint fingerprint, const core::SteeringTable& table, core::TimePoint now)
 {
-    if (this->entries.empty() && table.suspects.empty())
+    if (this->standing(fingerprint, table, now) != Standing::Suspect)
         return false;
-    const bool suspect = this->standing(fingerprint, table, now) == Standing::Suspect;
-    if (suspect)
-        this->entries.erase(fingerprint);
-    return suspect;
+    const std::lock_guard lock(this->mutex);
+    this->entries.erase(fingerprint);
+    this->empty = this->entries.empty();
+    return true;
 }
 
 Standing CrashBook::standing(core::Fingerprint fingerprint, const core::SteeringTable& table, core::TimePoint now) const
 {
     const auto value = static_cast<std::uint64_t>(fingerprint);
-    if (table.quarantined.contains(value))
+    if (!table.quarantined.empty() && table.quarantined.contains(value))
         return Standing::Quarantined;
+    const bool known = !table.suspects.empty() && table.suspects.contains(value);
+    if (this->empty)
+        return known ? Standing::Suspect : Standing::Clear;
+    const std::lock_guard lock(this->mutex);
+    return std::max(this->ownStanding(fingerprint, now), known ? Standing::Suspect : Standing::Clear);
+}
+
+// A quarantine that control did not confirm in time leaves a suspect.
+Standing CrashBook::ownStanding(core::Fingerprint fingerprint, core::TimePoint now) const
+{
     const auto found = this->entries.find(fingerprint);
-    if (found != this->entries.end()) {
-        if (found->second.until > now)
-            return found->second.standing;
-        // A quarantine that control did not confirm leaves a suspect.
-        if (found->second.standing == Standing::Quarantined && found->second.until + this->options.suspicion > now)
-            return Standing::Suspect;
-    }
-    return table.suspects.contains(value) ? Standing::Suspect : Standing::Clear;
+    if (found == this->entries.end())
+        return Standing::Clear;
+    const Entry& entry = found->second;
+    if (entry.until > now)
+        return entry.standing;
+    const bool unconfirmed = entry.standing == Standing::Quarantined && entry.until + this->options.suspicion > now;
+    return unconfirmed ? Standing::Suspect : Standing::Clear;
+}
+
+bool CrashBook::beginIsolation(core::Fingerprint fingerprint)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->isolated.insert(fingerprint).second;
+}
+
+void CrashBook::endIsolation(core::Fingerprint fingerprint)
+{
+    const std::lock_guard lock(this->mutex);
+    this->isolated.erase(fingerprint);
 }
 
 void CrashBook::forgetExpired(core::TimePoint now)
 {
-    std::erase_if(this->entries, [&](const auto& item) {
-        const Entry& entry = item.second;
-        return entry.until + (entry.standing == Standing::Quarantined ? this->options.suspicion : core::Duration {}) <= now;
-    });
+    if (this->empty)
+        return;
+    const std::lock_guard lock(this->mutex);
+    std::erase_if(this->entries, [&](const auto& item) { return this->ownStanding(item.first, now) == Standing::Clear; });
+    this->empty = this->entries.empty();
 }
 
 void CrashBook::makeRoom()
--- a/src/request/crash.h
+++ b/src/request/crash.h
@@ -2,8 +2,10 @@
 
 #include "core/table.h"
 
-#include <optional>
+#include <atomic>
+#include <mutex>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace cranberryshed::request {
 
@@ -18,12 +20,23 @@
 enum class Standing : std::uint8_t { Clear,
     Suspect,
     Quarantined };
+}
+
+template <>
+struct cranberryshed::core::Names<cranberryshed::request::Standing> {
+    static constexpr std::array<std::string_view, 3> values = { "clear", "suspect", "quarantined" };
+};
 
-// Requests that may crash backend servers, as far as one traffic thread knows. The steering table adds what
-// other threads and entry VMs found out.
+namespace cranberryshed::request {
+
+// Requests that may crash backend servers, as far as this process knows. The steering table adds what other
+// entry VMs found out.
 //
 // A fingerprint is quarantined only by a crash while it ran in isolation. A request that was merely in flight
 // beside the cause is a suspect, however often that happens, and its next success clears it.
+//
+// All traffic threads share one book, so that a request sent again on another connection is recognised at
+// once. The mutex is only taken while the book has entries.
 class CrashBook {
 public:
     explicit CrashBook(CrashOptions);
@@ -36,8 +49,11 @@
 
     Standing standing(core::Fingerprint, const core::SteeringTable&, core::TimePoint now) const;
 
+    // A suspect runs once at a time, or its copies would crash several servers. Returns false if it runs already.
+    bool beginIsolation(core::Fingerprint);
+    void endIsolation(core::Fingerprint);
+
     void forgetExpired(core::TimePoint now);
-    std::size_t size() const { return this->entries.size(); }
 
 private:
     struct Entry {
@@ -45,10 +61,14 @@
         core::TimePoint until {};
     };
 
+    Standing ownStanding(core::Fingerprint, core::TimePoint now) const;
     void makeRoom();
 
     CrashOptions options;
+    mutable std::mutex mutex;
+    std::atomic<bool> empty = true;
     std::unordered_map<core::Fingerprint, Entry> entries;
+    std::unordered_set<core::Fingerprint> isolated;
 };
 
 }
--- /dev/null
+++ b/src/request/divert_suspect.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "request/enrol.h"
+
+namespace cranberryshed::request {
+
+// Filter: lets a suspect wait for a server of its own, and stops a request that was quarantined meanwhile.
+struct DivertSuspect {
+    State& state;
+
+    Next<Launch> operator()(Launch launch, core::TimePoint now) const
+    {
+        Active& request = *launch.request;
+        switch (this->state.shared.crashes->standing(request.context.fingerprint, *this->state.table, now)) {
+        case Standing::Clear:
+            return Next<Launch>::pass(launch);
+        case Standing::Quarantined:
+            if (launch.reason != LaunchReason::Hedge)
+                this->state.reject(request, core::ErrorKind::Quarantined, now);
+            break;
+        case Standing::Suspect:
+            if (launch.reason != LaunchReason::Hedge)
+                this->waitForIsolation(request);
+            break;
+        }
+        return Next<Launch>::end({});
+    }
+
+private:
+    void waitForIsolation(Active& request) const
+    {
+        request.phase = Phase::Isolating;
+        request.actAt.reset();
+        this->state.suspects.push_back(request.context.arrival.request);
+        this->state.arm(request);
+    }
+};
+
+}
--- /dev/null
+++ b/src/request/due.cpp
@@ -0,0 +1,37 @@
+#include "request/due.h"
+
+namespace cranberryshed::request {
+
+Next<Launch> TakeDue::operator()(Active* request, core::TimePoint now) const
+{
+    if (!request->actAt || now < *request->actAt) {
+        this->state.arm(*request);
+        return Next<Launch>::end({});
+    }
+    request->actAt.reset();
+    if (request->phase == Phase::Backoff) {
+        request->phase = Phase::Starting;
+        return Next<Launch>::pass({ .request = request, .reason = LaunchReason::Retry });
+    }
+    this->state.arm(*request);
+    const bool hedge = request->phase == Phase::InFlight && !request->callerGone
+        && mayHedge(this->state.options.hedge, this->load(*request), request->memory->hedgeBudget, now);
+    return hedge ? Next<Launch>::pass({ .request = request, .reason = LaunchReason::Hedge }) : Next<Launch>::end({});
+}
+
+// Share of the slots of the class's servers that this process uses.
+double TakeDue::load(const Active& request) const
+{
+    double slots = 0;
+    double taken = 0;
+    for (core::ServerIndex index : request.context.classEntry().servers) {
+        const core::ServerEntry& server = request.context.table->at(index);
+        if (!takesWork(server))
+            continue;
+        slots += server.slots;
+        taken += server.inFlight->inFlight();
+    }
+    return slots > 0 ? taken / slots : 1;
+}
+
+}
--- /dev/null
+++ b/src/request/due.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "request/enrol.h"
+
+namespace cranberryshed::request {
+
+// Filter: finds the request of a timer. A timer of a request that has ended is ignored.
+struct FindRequest {
+    State& state;
+
+    Next<Active*> operator()(core::RequestId id, core::TimePoint) const
+    {
+        Active* request = this->state.find(id);
+        if (!request)
+            return Next<Active*>::end({});
+        request->timer = {}; // used up
+        return Next<Active*>::pass(request);
+    }
+};
+
+// Filter: ends a request whose deadline has passed. The deadline bounds the time until the head of an answer;
+// a stream that has begun is bounded by the front end's idle timeouts.
+struct EnforceDeadline {
+    State& state;
+
+    Next<Active*> operator()(Active* request, core::TimePoint now) const
+    {
+        if (request->relayed)
+            return Next<Active*>::end({});
+        if (now < request->context.deadline)
+            return Next<Active*>::pass(request);
+        this->state.reject(*request, core::ErrorKind::DeadlinePassedQueued, now);
+        return Next<Active*>::end({});
+    }
+};
+
+// Filter: passes on a retry or a second attempt whose time has come, and sets the timer for what comes later.
+struct TakeDue {
+    State& state;
+
+    Next<Launch> operator()(Active* request, core::TimePoint now) const;
+
+private:
+    double load(const Active&) const;
+};
+
+}
--- a/src/request/engine.h
+++ b/src/request/engine.h
@@ -2,120 +2,80 @@
 
 #include "request/pipeline.h"
 
-#include <deque>
-#include <unordered_map>
-
 namespace cranberryshed::request {
 
 // The request path of one traffic thread: typed events in, typed commands out, no I/O.
+//
+// Not copied or moved: the filters refer to the state.
 template <Chooser ChooserType>
 class Engine {
 public:
-    struct Options {
-        std::size_t queueLimit = 1000; // requests that wait for a slot
-    };
+    using Options = EngineOptions;
 
-    Engine(Options engineOptions, ChooserType serverChooser, std::uint64_t seed)
-        : options(engineOptions)
+    Engine(EngineOptions engineOptions, ChooserType serverChooser, Shared shared, std::uint64_t seed)
+        : state(engineOptions, std::move(shared), seed)
         , chooser(std::move(serverChooser))
-        , random(seed)
-    {
-    }
-
-    // Uses this table for every later decision.
-    void setTable(core::SteeringTablePointer newTable) { this->table = std::move(newTable); }
-
-    // Handles one event. Appends what the front end has to do to `commands`, in order.
-    void handle(const Event& event, core::TimePoint now, Commands& commands)
     {
-        std::visit([&](const auto& typed) { this->on(typed, now, commands); }, event);
     }
 
-private:
-    struct Active {
-        Context context;
-        core::AttemptId attempt {};
-        std::shared_ptr<core::SlotCount> slot;
-        bool relayed = false;
-    };
-
-    void on(const RequestArrived& arrival, core::TimePoint now, Commands& commands)
-    {
-        core::Outcome outcome = this->arrivalPipe(Context { .arrival = arrival, .table = this->table }, now);
-        if (outcome.ended()) {
-            commands.push_back(outcome.answer());
-            return;
-        }
-        this->start(std::move(outcome.output()), now, commands);
-    }
+    Engine(const Engine&) = delete;
+    Engine& operator=(const Engine&) = delete;
 
-    void on(const AnswerStarted& started, core::TimePoint, Commands& commands)
-    {
-        const auto found = this->active.find(started.request);
-        if (found == this->active.end() || found->second.attempt != started.attempt)
-            return;
-        found->second.relayed = true;
-        commands.push_back(RelayAnswer { .request = started.request, .attempt = started.attempt });
-    }
+    // Uses this table for every later decision. A CapacityChanged event follows it.
+    void setTable(core::SteeringTablePointer newTable) { this->state.setTable(std::move(newTable)); }
 
-    void on(const AttemptEnded& ended, core::TimePoint now, Commands& commands)
+    // Handles one event. Appends what the front end has to do to `commands` and what control should know to
+    // `observations`, in order. A table must have been set.
+    void handle(const Event& event, core::TimePoint now, Commands& commands, Observations& observations)
     {
-        const auto found = this->active.find(ended.request);
-        if (found == this->active.end() || found->second.attempt != ended.attempt)
-            return;
-        found->second.slot->release();
-        if (!found->second.relayed)
-            commands.push_back(Reject { .request = ended.request, .error = core::ErrorKind::ServerBroke, .key = {}, .retryAfter = {} });
-        this->active.erase(found);
-        this->startWaiting(now, commands);
+        this->state.begin(now, commands, observations);
+        std::visit([&](const auto& typed) { this->on(typed, now); }, event);
+        this->capacityPipe(Done {}, now);
     }
 
-    void on(const CallerGone& gone, core::TimePoint, Commands& commands)
-    {
-        const auto found = this->active.find(gone.request);
-        if (found != this->active.end())
-            commands.push_back(CancelAttempt { .request = gone.request, .attempt = found->second.attempt });
-    }
+    // Requests that wait for a slot or for a server of their own. If it is not 0, the thread wants
+    // CapacityChanged when another thread frees a slot.
+    std::size_t waiting() const { return this->state.queue.size() + this->state.suspects.size(); }
 
-    void on(const TimerDue&, core::TimePoint, Commands&) { }
+    // Requests that have not ended.
+    std::size_t unfinished() const { return this->state.active.size(); }
 
-    void on(const CapacityChanged&, core::TimePoint now, Commands& commands) { this->startWaiting(now, commands); }
+    // Attempts that hold a slot.
+    std::size_t inFlight() const { return this->state.attempts.size(); }
 
-    void start(Context context, core::TimePoint now, Commands& commands)
+private:
+    void on(const RequestArrived& arrival, core::TimePoint now)
     {
-        const std::optional<core::ServerIndex> server = this->chooser.choose(*context.table, context.classIndex, {}, this->random, now);
-        if (!server) {
-            if (this->queue.size() < this->options.queueLimit)
-                this->queue.push_back(std::move(context));
-            else
-                commands.push_back(Reject { .request = context.arrival.request, .error = core::ErrorKind::Overloaded, .key = {}, .retryAfter = {} });
+        if (this->state.find(arrival.request))
             return;
-        }
-        const core::AttemptId attempt { ++this->lastAttempt };
-        commands.push_back(SendAttempt { .request = context.arrival.request, .attempt = attempt, .server = *server, .table = context.table, .deadline = context.deadline });
-        const core::RequestId request = context.arrival.request;
-        std::shared_ptr<core::SlotCount> slot = context.table->at(*server).inFlight;
-        this->active.emplace(request, Active { .context = std::move(context), .attempt = attempt, .slot = std::move(slot) });
+        core::Outcome outcome = this->arrivalPipe(Context { .arrival = arrival, .table = this->state.table }, now);
+        if (outcome.ended())
+            this->state.emit(std::move(outcome.answer()));
+        else
+            this->launchPipe(outcome.output(), now);
     }
 
-    void startWaiting(core::TimePoint now, Commands& commands)
+    void on(const AnswerStarted& started, core::TimePoint now) { this->answerPipe(started, now); }
+    void on(const AttemptEnded& ended, core::TimePoint now) { this->attemptEndPipe(ended, now); }
+    void on(const CallerGone& gone, core::TimePoint now) { this->callerGonePipe(gone.request, now); }
+    void on(const CapacityChanged&, core::TimePoint) { }
+
+    void on(const TimerDue& timer, core::TimePoint now)
     {
-        for (std::size_t count = this->queue.size(); count > 0; --count) {
-            Context context = std::move(this->queue.front());
-            this->queue.pop_front();
-            context.table = this->table;
-            this->start(std::move(context), now, commands);
-        }
+        core::Outcome outcome = this->timerPipe(timer.request, now);
+        if (!outcome.ended())
+            this->launchPipe(outcome.output(), now);
     }
 
-    Options options;
+    State state;
     ChooserType chooser;
-    core::RandomEngine random;
-    core::SteeringTablePointer table;
-    ArrivalPipe arrivalPipe { Classify {} };
-    std::unordered_map<core::RequestId, Active> active;
-    std::deque<Context> queue;
-    std::uint64_t lastAttempt = 0;
+    ArrivalPipe arrivalPipe { Classify {}, CheckShutdown { state }, CheckQuarantine { state }, ClaimKey { state }, Enrol { state } };
+    LaunchPipe<ChooserType> launchPipe { Rebind { state }, DivertSuspect { state }, ChooseServer<ChooserType> { state, chooser }, Send { state } };
+    AnswerPipe answerPipe { FindAnswered { state }, Relay { state } };
+    AttemptEndPipe attemptEndPipe { TakeAttempt { state }, ReleaseSlot { state }, RecordResult { state }, JudgeCrash { state }, Conclude { state } };
+    TimerPipe timerPipe { FindRequest { state }, EnforceDeadline { state }, TakeDue { state } };
+    CallerGonePipe callerGonePipe { FindRequest { state }, Abandon { state } };
+    CapacityPipe<ChooserType> capacityPipe { Sweep { state }, WakeCleared<LaunchPipe<ChooserType>> { state, launchPipe }, RunSuspects { state }, Wake<LaunchPipe<ChooserType>> { state, launchPipe } };
 };
 
 }
--- /dev/null
+++ b/src/request/enrol.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "request/state.h"
+
+namespace cranberryshed::request {
+
+enum class LaunchReason : std::uint8_t { First, // of a request that has just arrived
+    Waiting, // of a request that waits in the queue
+    Retry,
+    Hedge }; // beside an attempt in flight
+
+// An attempt that is to be sent.
+struct Launch {
+    Active* request = nullptr;
+    LaunchReason reason = LaunchReason::First;
+};
+
+// Filter: records the request as active. From here on it ends by State::reject() or State::finish().
+struct Enrol {
+    State& state;
+
+    core::Outcome<Launch, Reject> operator()(Context context, core::TimePoint) const
+    {
+        const core::RequestId id = context.arrival.request;
+        ClassMemory& memory = this->state.memoryOf(context.classEntry());
+        ++memory.demand.arrived;
+        Active& request = this->state.active[id];
+        request.context = std::move(context);
+        request.memory = &memory;
+        return core::Outcome<Launch, Reject>::pass({ .request = &request, .reason = LaunchReason::First });
+    }
+};
+
+}
--- /dev/null
+++ b/src/request/isolate.cpp
@@ -0,0 +1,88 @@
+#include "request/isolate.h"
+
+#include "core/hash.h"
+#include "request/rebind.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cranberryshed::request {
+
+Next<Done> RunSuspects::operator()(Done, core::TimePoint now) const
+{
+    const std::vector<core::RequestId> waiting(this->state.suspects.begin(), this->state.suspects.end());
+    for (core::RequestId id : waiting) {
+        if (Active* request = this->state.find(id))
+            this->tryRun(*request, now);
+    }
+    return Next<Done>::pass({});
+}
+
+bool RunSuspects::tryRun(Active& request, core::TimePoint now) const
+{
+    if (Rebind { this->state }({ .request = &request }, now).ended())
+        return false;
+    const Standing standing = this->state.shared.crashes->standing(request.context.fingerprint, *this->state.table, now);
+    if (standing == Standing::Quarantined) {
+        this->state.reject(request, core::ErrorKind::Quarantined, now);
+        return false;
+    }
+    if (!this->reserve(request, now) || !request.reservation->tryEnterReserved())
+        return false;
+    const std::vector<core::ServerEntry>& servers = request.context.table->servers;
+    const auto server = std::ranges::find(servers, request.reservedServer, &core::ServerEntry::key);
+    std::erase(this->state.suspects, request.context.arrival.request);
+    request.reservation.reset();
+    const core::ServerIndex index { static_cast<std::uint32_t>(server - servers.begin()) };
+    Send { this->state }({ .launch = { .request = &request, .reason = LaunchReason::Retry }, .server = index, .isolated = true }, now);
+    return true;
+}
+
+// Returns whether the request holds a reservation of a server that still takes work.
+bool RunSuspects::reserve(Active& request, core::TimePoint now) const
+{
+    const core::SteeringTable& table = *request.context.table;
+    if (request.reservation) {
+        const auto server = std::ranges::find(table.servers, request.reservedServer, &core::ServerEntry::key);
+        if (server != table.servers.end() && takesWork(*server) && server->inFlight == request.reservation)
+            return true;
+        this->state.endReservation(request);
+    }
+    if (this->state.isolations >= this->state.options.isolationLimit)
+        return false;
+    if (!this->state.shared.crashes->beginIsolation(request.context.fingerprint))
+        return false;
+    for (core::ServerIndex index : this->candidates(request, now)) {
+        const core::ServerEntry& server = table.at(index);
+        if (!server.inFlight->tryReserve())
+            continue;
+        request.reservation = server.inFlight;
+        request.reservedServer = server.key;
+        ++this->state.isolations;
+        return true;
+    }
+    this->state.shared.crashes->endIsolation(request.context.fingerprint);
+    return false;
+}
+
+std::vector<core::ServerIndex> RunSuspects::candidates(const Active& request, core::TimePoint now) const
+{
+    const Context& context = request.context;
+    const Exclusions excluded = this->state.servers.exclusions(*context.table, context.classIndex, request.tried, now);
+    using Rank = std::tuple<bool, std::uint32_t, std::uint64_t, core::ServerIndex>;
+    std::vector<Rank> ranks;
+    for (core::ServerIndex index : context.classEntry().servers) {
+        const core::ServerEntry& server = context.table->at(index);
+        if (!takesWork(server) || std::ranges::find(excluded.servers, index) != excluded.servers.end())
+            continue;
+        ranks.emplace_back(!server.home, server.inFlight->inFlight(), core::hashCombine(static_cast<std::uint64_t>(context.fingerprint), server.key), index);
+    }
+    std::ranges::sort(ranks);
+    std::vector<core::ServerIndex> result;
+    result.reserve(ranks.size());
+    for (const Rank& rank : ranks)
+        result.push_back(std::get<core::ServerIndex>(rank));
+    return result;
+}
+
+}
--- /dev/null
+++ b/src/request/isolate.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "request/send.h"
+
+namespace cranberryshed::request {
+
+// Filter: sends suspects, each to a server where nothing else runs as far as this entry VM can tell.
+//
+// The server is closed to this process's other requests first, so that a busy server empties. Servers of the
+// home part go first: other entry VMs send little work there. The others are ordered by a hash of fingerprint
+// and server, so that two entry VMs are unlikely to isolate different suspects on the same server.
+struct RunSuspects {
+    State& state;
+
+    Next<Done> operator()(Done, core::TimePoint now) const;
+
+private:
+    bool tryRun(Active&, core::TimePoint now) const;
+    bool reserve(Active&, core::TimePoint now) const;
+    std::vector<core::ServerIndex> candidates(const Active&, core::TimePoint now) const;
+};
+
+}
--- a/src/request/pipeline.h
+++ b/src/request/pipeline.h
@@ -1,13 +1,48 @@
 #pragma once
 
 #include "core/pipe.h"
-#include "request/choose.h"
+#include "request/abandon.h"
+#include "request/answer.h"
+#include "request/attempt_end.h"
+#include "request/check_quarantine.h"
+#include "request/check_shutdown.h"
+#include "request/choose_server.h"
+#include "request/claim_key.h"
 #include "request/classify.h"
-#include "request/context.h"
+#include "request/divert_suspect.h"
+#include "request/due.h"
+#include "request/enrol.h"
+#include "request/isolate.h"
+#include "request/rebind.h"
+#include "request/send.h"
+#include "request/sweep.h"
+#include "request/wake.h"
 
 namespace cranberryshed::request {
 
-// The filters that a request passes before a backend server is chosen, in their order.
-using ArrivalPipe = core::Pipe<Classify>;
+// The chains of the request engine, one for each kind of event. Engine runs them and nothing else.
+
+// RequestArrived: from Context to Launch.
+using ArrivalPipe = core::Pipe<Classify, CheckShutdown, CheckQuarantine, ClaimKey, Enrol>;
+
+// From Launch to an attempt that is sent, or a request that waits.
+template <Chooser ChooserType>
+using LaunchPipe = core::Pipe<Rebind, DivertSuspect, ChooseServer<ChooserType>, Send>;
+
+// AnswerStarted.
+using AnswerPipe = core::Pipe<FindAnswered, Relay>;
+
+// AttemptEnded. The capacity pipe follows, because a slot may be free.
+using AttemptEndPipe = core::Pipe<TakeAttempt, ReleaseSlot, RecordResult, JudgeCrash, Conclude>;
+
+// TimerDue: from RequestId to Launch, for a retry or a second attempt.
+using TimerPipe = core::Pipe<FindRequest, EnforceDeadline, TakeDue>;
+
+// CallerGone.
+using CallerGonePipe = core::Pipe<FindRequest, Abandon>;
+
+// CapacityChanged, and the end of every other event.
+template <Chooser ChooserType>
+using CapacityPipe = core::Pipe<Sweep, WakeCleared<LaunchPipe<ChooserType>>, RunSuspects, Wake<LaunchPipe<ChooserType>>>;
 
 }
--- /dev/null
+++ b/src/request/send.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "request/choose_server.h"
+
+namespace cranberryshed::request {
+
+// Filter, the last of a launch: sends the attempt.
+struct Send {
+    State& state;
+
+    Next<Done> operator()(Chosen chosen, core::TimePoint now) const
+    {
+        Active& request = *chosen.launch.request;
+        const Context& context = request.context;
+        const core::AttemptId id { ++this->state.lastAttempt };
+        const core::RequestId requestId = context.arrival.request;
+        this->state.attempts.emplace(id, Attempt { .request = requestId, .table = context.table, .server = chosen.server, .fingerprint = context.fingerprint, .memory = request.memory, .sentAt = now, .headAt = {}, .isolated = chosen.isolated, .cancelledAt = {} });
+        ++request.memory->inFlight;
+        request.phase = Phase::InFlight;
+        request.live.push_back(id);
+        request.tried.push_back(context.table->at(chosen.server).key);
+        request.actAt.reset();
+        if (chosen.launch.reason != LaunchReason::Hedge)
+            this->planHedge(request, chosen.isolated, now);
+        this->state.emit(SendAttempt { .request = requestId, .attempt = id, .server = chosen.server, .table = context.table, .deadline = context.deadline });
+        this->state.arm(request);
+        return Next<Done>::end({});
+    }
+
+private:
+    void planHedge(Active& request, bool isolated, core::TimePoint now) const
+    {
+        const core::ClassEntry& entry = request.context.classEntry();
+        const HedgeCandidate candidate { .repeat = entry.repeat, .length = entry.length, .replayable = request.context.arrival.replayable, .suspect = isolated };
+        const std::optional<core::Duration> delay = hedgeDelay(candidate, this->state.options.hedge, request.memory->headTime);
+        if (delay && now + *delay < request.context.deadline)
+            request.actAt = now + *delay;
+    }
+};
+
+}
--- /dev/null
+++ b/src/request/servers.cpp
@@ -0,0 +1,91 @@
+#include "request/servers.h"
+
+#include <algorithm>
+
+namespace cranberryshed::request {
+
+namespace {
+
+    // A domain has failed as a whole when at least half of its servers failed, and not just one.
+    constexpr std::uint32_t fewestFailures = 2;
+
+}
+
+void ServerMemory::record(std::uint64_t serverKey, core::AttemptResult result, std::optional<core::Duration> retryAfter, core::TimePoint now)
+{
+    switch (result) {
+    case core::AttemptResult::Answered:
+        if (!this->states.empty())
+            this->states.erase(serverKey);
+        break;
+    case core::AttemptResult::Refused:
+        this->states[serverKey].shedUntil = now + std::min(retryAfter.value_or(this->options.shedding), this->options.longestHint);
+        break;
+    case core::AttemptResult::ConnectFailed:
+    case core::AttemptResult::Broken:
+        this->states[serverKey].failedUntil = now + this->options.failure;
+        break;
+    case core::AttemptResult::TimedOut:
+    case core::AttemptResult::Cancelled:
+        break;
+    }
+}
+
+Exclusions ServerMemory::exclusions(const core::SteeringTable& table, core::ClassIndex classIndex, std::span<const std::uint64_t> tried, core::TimePoint now) const
+{
+    const core::ClassEntry& entry = table.at(classIndex);
+    const std::vector<bool> failed = this->failedDomains(table, entry, now);
+    Exclusions result;
+    std::vector<core::ServerIndex> inFailedDomain;
+    std::size_t left = 0;
+    for (core::ServerIndex index : entry.servers) {
+        const core::ServerEntry& server = table.at(index);
+        const State* state = this->find(server.key);
+        const bool shedding = state && state->shedUntil > now;
+        if (std::ranges::find(tried, server.key) != tried.end() || shedding)
+            result.servers.push_back(index);
+        else if (failed[server.domain.value])
+            inFailedDomain.push_back(index);
+        else if (takesWork(server))
+            ++left;
+        if (shedding && takesWork(server))
+            result.retryAfter = std::min(result.retryAfter.value_or(core::Duration::max()), core::Duration(state->shedUntil - now));
+    }
+    if (left > 0)
+        result.servers.insert(result.servers.end(), inFailedDomain.begin(), inFailedDomain.end());
+    result.anyLeft = left > 0 || std::ranges::any_of(inFailedDomain, [&](core::ServerIndex index) { return takesWork(table.at(index)); });
+    return result;
+}
+
+void ServerMemory::forgetExpired(core::TimePoint now)
+{
+    std::erase_if(this->states, [&](const auto& item) { return std::max(item.second.failedUntil, item.second.shedUntil) <= now; });
+}
+
+const ServerMemory::State* ServerMemory::find(std::uint64_t serverKey) const
+{
+    const auto found = this->states.find(serverKey);
+    return found == this->states.end() ? nullptr : &found->second;
+}
+
+std::vector<bool> ServerMemory::failedDomains(const core::SteeringTable& table, const core::ClassEntry& entry, core::TimePoint now) const
+{
+    std::size_t domains = 0;
+    for (core::ServerIndex index : entry.servers)
+        domains = std::max<std::size_t>(domains, table.at(index).domain.value + 1);
+    std::vector<std::uint32_t> servers(domains);
+    std::vector<std::uint32_t> failures(domains);
+    for (core::ServerIndex index : entry.servers) {
+        const core::ServerEntry& server = table.at(index);
+        const State* state = this->find(server.key);
+        ++servers[server.domain.value];
+        if (state && state->failedUntil > now)
+            ++failures[server.domain.value];
+    }
+    std::vector<bool> failed(domains);
+    for (std::size_t i = 0; i < failed.size(); ++i)
+        failed[i] = failures[i] >= fewestFailures && 2 * failures[i] >= servers[i];
+    return failed;
+}
+
+}
--- /dev/null
+++ b/src/request/servers.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "core/table.h"
+
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace cranberryshed::request {
+
+// Servers that an attempt must not use, as indexes of one table.
+struct Exclusions {
+    std::vector<core::ServerIndex> servers;
+    bool anyLeft = true; // a server of the class that takes new work is not excluded
+    std::optional<core::Duration> retryAfter; // the shortest hint, if all are excluded and one is for shedding load
+};
+
+// Recent failures of backend servers, as one traffic thread saw them. It bridges the time until control has
+// judged them; ejections are in the steering table.
+class ServerMemory {
+public:
+    struct Options {
+        core::Duration failure = std::chrono::seconds(5); // a failure is remembered this long without a success
+        core::Duration shedding = std::chrono::milliseconds(50); // after a refusal without a hint
+        core::Duration longestHint = std::chrono::seconds(2); // a longer hint may be a mistake of the server
+    };
+
+    explicit ServerMemory(Options memoryOptions)
+        : options(memoryOptions)
+    {
+    }
+
+    void record(std::uint64_t serverKey, core::AttemptResult, std::optional<core::Duration> retryAfter, core::TimePoint now);
+
+    // The servers already tried for a request, those that asked for a pause, and those of a failure domain
+    // that failed as a whole, unless no other domain is left.
+    Exclusions exclusions(const core::SteeringTable&, core::ClassIndex, std::span<const std::uint64_t> tried, core::TimePoint now) const;
+
+    // Whether exclusions() without tried servers would be empty.
+    bool allWell() const { return this->states.empty(); }
+    void forgetExpired(core::TimePoint now);
+
+private:
+    struct State {
+        core::TimePoint failedUntil {};
+        core::TimePoint shedUntil {};
+    };
+
+    const State* find(std::uint64_t serverKey) const;
+    std::vector<bool> failedDomains(const core::SteeringTable&, const core::ClassEntry&, core::TimePoint now) const;
+
+    Options options;
+    std::unordered_map<std::uint64_t, State> states; // by ServerEntry::key; only servers with a failure
+};
+
+// Whether control lets a server get new work.
+inline bool takesWork(const core::ServerEntry& server)
+{
+    return server.state == core::ServerState::Active || server.state == core::ServerState::Warming;
+}
+
+}
--- /dev/null
+++ b/src/request/state.cpp
@@ -0,0 +1,149 @@
+#include "request/state.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace cranberryshed::request {
+
+namespace {
+
+    // The error that is true for a request of which an earlier attempt may have run.
+    core::ErrorKind afterPossibleRun(core::ErrorKind kind)
+    {
+        if (core::answerFor(kind).run != core::RunState::NotRun)
+            return kind;
+        const bool late = kind == core::ErrorKind::DeadlinePassedQueued || kind == core::ErrorKind::DeadlineTooShort;
+        return late ? core::ErrorKind::DeadlinePassed : core::ErrorKind::ServerBroke;
+    }
+
+}
+
+State::State(EngineOptions engineOptions, Shared sharedParts, std::uint64_t seed)
+    : options(engineOptions)
+    , shared(std::move(sharedParts))
+    , random(seed)
+    , queue(engineOptions.queue)
+    , servers(engineOptions.servers)
+{
+}
+
+void State::setTable(core::SteeringTablePointer newTable)
+{
+    this->table = std::move(newTable);
+}
+
+void State::begin(core::TimePoint now, Commands& newCommands, Observations& newObservations)
+{
+    this->commands = &newCommands;
+    this->observations = &newObservations;
+    if (!this->table->leaving)
+        this->leavingSince.reset();
+    else if (!this->leavingSince)
+        this->leavingSince = now;
+}
+
+ClassMemory& State::memoryOf(const core::ClassEntry& entry)
+{
+    const auto found = this->classes.find(entry.name);
+    if (found != this->classes.end())
+        return found->second;
+    ClassMemory memory { .key = core::hashBytes(entry.name), .pool = core::hashBytes(entry.service), .length = entry.length, .retryBudget = TokenBudget(this->options.retry.budget), .hedgeBudget = TokenBudget(this->options.hedge.budget), .headTime = QuantileTracker(this->options.hedge.quantile), .demand = { .className = entry.name } };
+    return this->classes.emplace(entry.name, std::move(memory)).first->second;
+}
+
+Active* State::find(core::RequestId request)
+{
+    const auto found = this->active.find(request);
+    return found == this->active.end() ? nullptr : &found->second;
+}
+
+void State::arm(Active& request)
+{
+    core::TimePoint time = request.context.deadline;
+    if (request.actAt)
+        time = std::min(time, *request.actAt);
+    if (time == request.timer)
+        return;
+    request.timer = time;
+    this->emit(WaitUntil { .request = request.context.arrival.request, .time = time });
+}
+
+void State::cancelAttempts(Active& request, core::TimePoint now)
+{
+    for (core::AttemptId id : request.live) {
+        if (request.relayed == id)
+            continue;
+        this->attempts.at(id).cancelledAt = now;
+        this->emit(CancelAttempt { .request = request.context.arrival.request, .attempt = id });
+        request.mayHaveRun = true;
+    }
+    std::erase_if(request.live, [&](core::AttemptId id) { return request.relayed != id; });
+}
+
+void State::reject(Active& request, core::ErrorKind kind, core::TimePoint now, std::optional<core::Duration> retryAfter)
+{
+    this->cancelAttempts(request, now);
+    const core::ErrorKind error = request.mayHaveRun ? afterPossibleRun(kind) : kind;
+    if (!request.callerGone)
+        this->emit(Reject { .request = request.context.arrival.request, .error = error, .key = {}, .retryAfter = retryAfter });
+    ++request.memory->demand.rejected;
+    this->finish(request, now);
+}
+
+void State::finish(Active& request, core::TimePoint now)
+{
+    const core::RequestId id = request.context.arrival.request;
+    this->settleKey(request);
+    this->endReservation(request);
+    if (request.phase == Phase::Queued)
+        this->queue.remove(id, now);
+    if (request.phase == Phase::Isolating)
+        std::erase(this->suspects, id);
+    this->active.erase(id);
+}
+
+// The answer's status was recorded when its head arrived.
+void State::settleKey(const Active& request)
+{
+    if (!request.context.keyClaimed || request.relayed)
+        return;
+    if (request.mayHaveRun)
+        this->shared.keys->finish(request.context.arrival.key, 0);
+    else
+        this->shared.keys->giveBack(request.context.arrival.key);
+}
+
+void State::endReservation(Active& request)
+{
+    if (!request.reservation)
+        return;
+    request.reservation->endReservation();
+    request.reservation.reset();
+    --this->isolations;
+    this->shared.crashes->endIsolation(request.context.fingerprint);
+}
+
+void State::release(const Attempt& attempt)
+{
+    core::SlotCount& slots = *attempt.serverEntry().inFlight;
+    slots.release();
+    --attempt.memory->inFlight;
+    if (!attempt.isolated)
+        return;
+    slots.endReservation();
+    --this->isolations;
+    this->shared.crashes->endIsolation(attempt.fingerprint);
+}
+
+double State::laneInFlight(const ClassMemory& memory) const
+{
+    double count = 0;
+    for (const auto& [name, other] : this->classes) {
+        if (other.pool == memory.pool && other.length == memory.length)
+            count += other.inFlight;
+    }
+    return std::max(1.0, count);
+}
+
+}
--- /dev/null
+++ b/src/request/state.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "request/context.h"
+#include "request/crash.h"
+#include "request/hedge.h"
+#include "request/keys.h"
+#include "request/queue.h"
+#include "request/retry.h"
+#include "request/servers.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace cranberryshed::request {
+
+struct EngineOptions {
+    WaitQueue::Options queue {};
+    RetryOptions retry {};
+    HedgeOptions hedge {};
+    ServerMemory::Options servers {};
+    // How long after the table says leaving new requests on open connections are still served. Callers may use
+    // a look-up answer for 5 s, and a table reaches a traffic thread within a fraction of a second.
+    core::Duration shutdownLimit = std::chrono::seconds(8);
+    std::size_t isolationLimit = 2; // suspects that run or wait for a reserved server at the same time
+    core::Duration cancelGrace = std::chrono::seconds(2); // a cancelled attempt whose end is not reported by then is over
+    core::Duration sweepInterval = std::chrono::seconds(1);
+};
+
+// What all traffic threads of a process share.
+struct Shared {
+    std::shared_ptr<KeyLedger> keys;
+    std::shared_ptr<CrashBook> crashes;
+};
+
+// What one traffic thread remembers about a class of work, across tables.
+struct ClassMemory {
+    std::uint64_t key = 0; // hash of the class's name
+    std::uint64_t pool = 0; // hash of the service's name
+    core::WorkLength length = core::WorkLength::Short;
+    TokenBudget retryBudget;
+    TokenBudget hedgeBudget;
+    QuantileTracker headTime; // from sending to the head of the answer
+    double holdMicroseconds = 0; // mean time that an attempt holds a slot
+    std::uint32_t inFlight = 0; // attempts
+    DemandObserved demand;
+};
+
+// One attempt that holds a slot. It may outlive its request: a cancelled attempt holds its slot until it ends.
+struct Attempt {
+    core::RequestId request {};
+    core::SteeringTablePointer table;
+    core::ServerIndex server {}; // of `table`
+    core::Fingerprint fingerprint {};
+    ClassMemory* memory = nullptr;
+    core::TimePoint sentAt {};
+    std::optional<core::TimePoint> headAt;
+    bool isolated = false;
+    std::optional<core::TimePoint> cancelledAt;
+
+    const core::ServerEntry& serverEntry() const { return this->table->at(this->server); }
+};
+
+enum class Phase : std::uint8_t { Starting, // is being sent
+    Queued, // waits for a slot
+    Isolating, // waits for a server on which nothing else runs
+    Backoff, // waits until the next attempt is due
+    InFlight };
+
+// One request that has not ended.
+struct Active {
+    Context context;
+    ClassMemory* memory = nullptr;
+    Phase phase = Phase::Starting;
+    std::vector<core::AttemptId> live; // attempts in flight that have not been cancelled
+    std::vector<std::uint64_t> tried; // ServerEntry::key of each attempt
+    std::optional<core::AttemptId> relayed; // whose answer the caller gets
+    std::optional<core::TimePoint> actAt; // when a retry or hedge is due
+    core::TimePoint timer {}; // the last WaitUntil
+    bool mayHaveRun = false; // an attempt that ended may have run the request
+    bool callerGone = false;
+    // The server reserved for an isolated run, until the attempt is sent and takes the reservation over.
+    std::shared_ptr<core::SlotCount> reservation;
+    std::uint64_t reservedServer = 0; // ServerEntry::key
+};
+
+// The state of one traffic thread's engine and the steps that several filters share.
+class State {
+public:
+    State(EngineOptions, Shared, std::uint64_t seed);
+
+    void setTable(core::SteeringTablePointer);
+
+    // Starts an event: where commands and observations go until the next one.
+    void begin(core::TimePoint now, Commands&, Observations&);
+    template <typename CommandType>
+    void emit(CommandType command)
+    {
+        this->commands->emplace_back(std::move(command));
+    }
+    template <typename ObservationType>
+    void observe(ObservationType observation)
+    {
+        this->observations->emplace_back(std::move(observation));
+    }
+
+    ClassMemory& memoryOf(const core::ClassEntry&);
+    Active* find(core::RequestId);
+
+    // Asks for a timer at the next time that matters to the request, unless it is already set.
+    void arm(Active&);
+
+    // Cancels the attempts in flight, except the one whose answer is relayed.
+    void cancelAttempts(Active&, core::TimePoint now);
+
+    // Ends the request with an error and cancels what is in flight. A kind that says "not run" is replaced if an attempt may have run.
+    void reject(Active&, core::ErrorKind, core::TimePoint now, std::optional<core::Duration> retryAfter = {});
+
+    // Ends the request: settles its key and leaves queues and reservations.
+    void finish(Active&, core::TimePoint now);
+
+    // Gives back the server that the request reserved and did not use.
+    void endReservation(Active&);
+
+    // Gives back the slot of an attempt that ended.
+    void release(const Attempt&);
+
+    // Attempts of this thread in flight in the lane of the class: same service, same length of work.
+    double laneInFlight(const ClassMemory&) const;
+
+    const EngineOptions options;
+    Shared shared;
+    core::RandomEngine random;
+    core::SteeringTablePointer table;
+    std::optional<core::TimePoint> leavingSince;
+    std::unordered_map<core::RequestId, Active> active;
+    std::unordered_map<core::AttemptId, Attempt> attempts;
+    std::map<std::string, ClassMemory, std::less<>> classes;
+    WaitQueue queue;
+    std::deque<core::RequestId> suspects; // in phase Isolating, in their order
+    std::size_t isolations = 0; // servers that this thread has reserved
+    ServerMemory servers;
+    std::uint64_t lastAttempt = 0;
+    core::TimePoint sweptAt {};
+
+private:
+    void settleKey(const Active&);
+
+    Commands* commands = nullptr;
+    Observations* observations = nullptr;
+};
+
+}
--- /dev/null
+++ b/src/request/sweep.cpp
@@ -0,0 +1,63 @@
+#include "request/sweep.h"
+
+#include "request/due.h"
+
+namespace cranberryshed::request {
+
+Next<Done> Sweep::operator()(Done, core::TimePoint now) const
+{
+    this->expireQueued(now);
+    if (now - this->state.sweptAt < this->state.options.sweepInterval)
+        return Next<Done>::pass({});
+    this->state.sweptAt = now;
+    this->enforceDeadlines(now);
+    this->releaseCancelled(now);
+    this->reportDemand();
+    this->state.servers.forgetExpired(now);
+    this->state.shared.crashes->forgetExpired(now);
+    return Next<Done>::pass({});
+}
+
+void Sweep::expireQueued(core::TimePoint now) const
+{
+    for (core::RequestId id : this->state.queue.expire(now)) {
+        Active& request = *this->state.find(id);
+        request.phase = Phase::Starting; // it has left the queue
+        this->state.reject(request, core::ErrorKind::DeadlinePassedQueued, now);
+    }
+}
+
+void Sweep::enforceDeadlines(core::TimePoint now) const
+{
+    std::vector<core::RequestId> due;
+    for (const auto& [id, request] : this->state.active) {
+        if (!request.relayed && request.context.deadline <= now)
+            due.push_back(id);
+    }
+    for (core::RequestId id : due)
+        EnforceDeadline { this->state }(this->state.find(id), now);
+}
+
+void Sweep::releaseCancelled(core::TimePoint now) const
+{
+    std::erase_if(this->state.attempts, [&](const auto& item) {
+        const Attempt& attempt = item.second;
+        const bool overdue = attempt.cancelledAt && now - *attempt.cancelledAt > this->state.options.cancelGrace;
+        if (overdue)
+            this->state.release(attempt);
+        return overdue;
+    });
+}
+
+void Sweep::reportDemand() const
+{
+    for (auto& [name, memory] : this->state.classes) {
+        if (memory.demand.arrived == 0 && memory.demand.rejected == 0)
+            continue;
+        this->state.observe(memory.demand);
+        memory.demand.arrived = 0;
+        memory.demand.rejected = 0;
+    }
+}
+
+}
--- /dev/null
+++ b/src/request/wake.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "request/send.h"
+
+namespace cranberryshed::request {
+
+// Filter: sends suspects that were cleared while they waited for a server of their own.
+template <typename LaunchPipe>
+struct WakeCleared {
+    State& state;
+    LaunchPipe& launch;
+
+    Next<Done> operator()(Done, core::TimePoint now) const
+    {
+        const std::vector<core::RequestId> waiting(this->state.suspects.begin(), this->state.suspects.end());
+        for (core::RequestId id : waiting) {
+            Active* request = this->state.find(id);
+            if (!request || this->state.shared.crashes->standing(request->context.fingerprint, *this->state.table, now) != Standing::Clear)
+                continue;
+            this->state.endReservation(*request);
+            std::erase(this->state.suspects, id);
+            request->phase = Phase::Starting;
+            this->launch(Launch { .request = request, .reason = LaunchReason::Retry }, now);
+        }
+        return Next<Done>::pass({});
+    }
+};
+
+// Filter: sends queued requests as long as one finds a slot. `LaunchPipe` is the pipe that sends an attempt.
+template <typename LaunchPipe>
+struct Wake {
+    State& state;
+    LaunchPipe& launch;
+
+    Next<Done> operator()(Done, core::TimePoint now) const
+    {
+        if (this->state.queue.size() == 0)
+            return Next<Done>::pass({});
+        const auto tryStart = [&](const WaitingRequest& waiting) { return this->tryStart(waiting.request, now); };
+        while (this->state.queue.next(now, tryStart)) { }
+        return Next<Done>::pass({});
+    }
+
+private:
+    // Returns whether the request no longer waits in the queue.
+    bool tryStart(core::RequestId id, core::TimePoint now) const
+    {
+        Active& request = *this->state.find(id);
+        request.phase = Phase::Starting; // the queue itself takes it out
+        this->launch(Launch { .request = &request, .reason = LaunchReason::Waiting }, now);
+        Active* remaining = this->state.find(id);
+        if (!remaining || remaining->phase != Phase::Starting)
+            return true;
+        remaining->phase = Phase::Queued;
+        return false;
+    }
+};
+
+}
