--- a/src/core/errors.h
+++ b/src/core/errors.h
@@ -45,6 +45,7 @@
     BadMessage,
     NotInForce,
     KeyUnclear,
+    CallerGone,
 };
 
 // What follows from an error kind.
--- a/src/request/abandon.h
+++ b/src/request/abandon.h
@@ -12,20 +12,23 @@
     Next<Done> operator()(Active* request, core::TimePoint now) const
     {
         const bool keep = request->context.keyClaimed && !request->relayed && !request->live.empty();
-        if (keep) {
-            request->callerGone = true;
-            request->actAt.reset();
+        request->callerGone = true;
+        request->actAt.reset();
+        if (keep)
             this->state.arm(*request);
-            return Next<Done>::pass({});
-        }
-        if (request->relayed) {
-            this->state.attempts.at(*request->relayed).cancelledAt = now;
-            this->state.emit(CancelAttempt { .request = request->context.arrival.request, .attempt = *request->relayed });
-        }
-        this->state.cancelAttempts(*request, now);
-        this->state.finish(*request, now);
+        else if (request->relayed)
+            this->endRelay(*request, now);
+        else
+            this->state.reject(*request, core::ErrorKind::CallerGone, now);
         return Next<Done>::pass({});
     }
+
+private:
+    void endRelay(Active& request, core::TimePoint now) const
+    {
+        this->state.cancel(request, *request.relayed, now);
+        this->state.finish(request, now);
+    }
 };
 
 }
--- a/src/request/answer.h
+++ b/src/request/answer.h
@@ -7,7 +7,6 @@
 // The head of an answer to an attempt of a request that has not ended.
 struct AnswerHead {
     AnswerStarted event;
-    Attempt* attempt = nullptr;
     Active* request = nullptr;
 };
 
@@ -25,7 +24,7 @@
         Active* request = this->state.find(event.request);
         if (!request || found->second.cancelledAt || request->relayed)
             return Next<AnswerHead>::end({});
-        return Next<AnswerHead>::pass({ .event = event, .attempt = &found->second, .request = request });
+        return Next<AnswerHead>::pass({ .event = event, .request = request });
     }
 };
 
@@ -46,9 +45,8 @@
             return Next<Done>::end({});
         }
         // The outcome is known now, and nobody waits for the rest of the answer.
-        head.attempt->cancelledAt = now;
-        this->state.emit(CancelAttempt { .request = head.event.request, .attempt = head.event.attempt });
-        this->state.finish(request, now);
+        this->state.cancel(request, head.event.attempt, now);
+        this->state.reject(request, core::ErrorKind::CallerGone, now);
         return Next<Done>::end({});
     }
 };
--- a/src/request/attempt_end.cpp
+++ b/src/request/attempt_end.cpp
@@ -106,7 +106,7 @@
     if (!request.live.empty())
         return;
     if (request.callerGone)
-        return this->state.finish(request, now);
+        return this->state.reject(request, core::ErrorKind::CallerGone, now);
     this->retryOrReject(request, ended, now);
 }
 
--- a/src/request/events.h
+++ b/src/request/events.h
@@ -77,7 +77,8 @@
     core::AttemptId attempt;
 };
 
-// Answers the caller with an error of the system's own. Ends the request.
+// Answers the caller with an error of the system's own. Ends the request. Each request gets exactly one
+// RelayAnswer or Reject, also after CallerGone (error CallerGone, which nobody reads).
 struct Reject {
     core::RequestId request;
     core::ErrorKind error;
--- a/src/request/state.cpp
+++ b/src/request/state.cpp
@@ -19,6 +19,11 @@
 
 }
 
+Shared makeShared(std::string_view member, core::Incarnation incarnation, std::uint64_t seed, KeyOptions keys, CrashOptions crashes)
+{
+    return { .keys = std::make_shared<KeyLedger>(core::hashBytes(member), incarnation, keys, seed), .crashes = std::make_shared<CrashBook>(crashes) };
+}
+
 State::State(EngineOptions engineOptions, Shared sharedParts, std::uint64_t seed)
     : options(engineOptions)
     , shared(std::move(sharedParts))
@@ -26,6 +31,8 @@
     , queue(engineOptions.queue)
     , servers(engineOptions.servers)
 {
+    if (!this->shared.keys || !this->shared.crashes)
+        throw core::Error(core::ErrorKind::BadSettings, "the request engine needs the key ledger and the crash book of its process");
 }
 
 void State::setTable(core::SteeringTablePointer newTable)
@@ -69,25 +76,33 @@
     this->emit(WaitUntil { .request = request.context.arrival.request, .time = time });
 }
 
+void State::cancel(Active& request, core::AttemptId id, core::TimePoint now)
+{
+    this->attempts.at(id).cancelledAt = now;
+    std::erase(request.live, id);
+    this->emit(CancelAttempt { .request = request.context.arrival.request, .attempt = id });
+}
+
 void State::cancelAttempts(Active& request, core::TimePoint now)
 {
-    for (core::AttemptId id : request.live) {
+    const std::vector<core::AttemptId> attemptsInFlight = request.live;
+    for (core::AttemptId id : attemptsInFlight) {
         if (request.relayed == id)
             continue;
-        this->attempts.at(id).cancelledAt = now;
-        this->emit(CancelAttempt { .request = request.context.arrival.request, .attempt = id });
+        this->cancel(request, id, now);
         request.mayHaveRun = true;
     }
-    std::erase_if(request.live, [&](core::AttemptId id) { return request.relayed != id; });
 }
 
 void State::reject(Active& request, core::ErrorKind kind, core::TimePoint now, std::optional<core::Duration> retryAfter)
 {
     this->cancelAttempts(request, now);
-    const core::ErrorKind error = request.mayHaveRun ? afterPossibleRun(kind) : kind;
-    if (!request.callerGone)
-        this->emit(Reject { .request = request.context.arrival.request, .error = error, .key = {}, .retryAfter = retryAfter });
-    ++request.memory->demand.rejected;
+    core::ErrorKind error = request.mayHaveRun ? afterPossibleRun(kind) : kind;
+    if (request.callerGone)
+        error = core::ErrorKind::CallerGone;
+    else
+        ++request.memory->demand.rejected;
+    this->emit(Reject { .request = request.context.arrival.request, .error = error, .key = {}, .retryAfter = retryAfter });
     this->finish(request, now);
 }
 
--- a/src/request/state.h
+++ b/src/request/state.h
@@ -34,6 +34,9 @@
     std::shared_ptr<CrashBook> crashes;
 };
 
+// For one start of the entry VM `member`. The seed must differ between starts: it makes the keys' nonces.
+Shared makeShared(std::string_view member, core::Incarnation, std::uint64_t seed, KeyOptions = {}, CrashOptions = {});
+
 // What one traffic thread remembers about a class of work, across tables.
 struct ClassMemory {
     std::uint64_t key = 0; // hash of the class's name
@@ -88,6 +91,7 @@
 // The state of one traffic thread's engine and the steps that several filters share.
 class State {
 public:
+    // Throws core::Error (BadSettings) if a shared part is missing.
     State(EngineOptions, Shared, std::uint64_t seed);
 
     void setTable(core::SteeringTablePointer);
@@ -111,6 +115,9 @@
     // Asks for a timer at the next time that matters to the request, unless it is already set.
     void arm(Active&);
 
+    // Cancels one attempt in flight. Its slot is held until its end is reported.
+    void cancel(Active&, core::AttemptId, core::TimePoint now);
+
     // Cancels the attempts in flight, except the one whose answer is relayed.
     void cancelAttempts(Active&, core::TimePoint now);
 
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -23,8 +23,8 @@
     : options(std::move(workerOptions))
     , work(asio::make_work_guard(*this->context))
     , currentTable(std::make_shared<core::SteeringTable>())
-    , engine(this->options.engine, {}, this->options.seed)
-    , lookups(lookup::FindClass {}, lookup::RankMembers {})
+    , engine(this->options.engine, {}, this->options.shared, this->options.seed)
+    , lookups(lookup::FindClass {}, lookup::LocateCaller {}, lookup::RankMembers {})
     , pool(this->options.pool)
 {
     this->engine.setTable(this->currentTable);
@@ -100,7 +100,8 @@
 void Worker::handle(const request::Event& event)
 {
     request::Commands commands;
-    this->engine.handle(event, steadyNow(), commands);
+    request::Observations observations;
+    this->engine.handle(event, steadyNow(), commands, observations);
     for (const request::Command& command : commands)
         std::visit([this](const auto& typed) { this->execute(typed); }, command);
 }
--- a/src/wire/worker.h
+++ b/src/wire/worker.h
@@ -26,6 +26,7 @@
         std::uint64_t seed = 0;
         Limits limits;
         TrafficEngine::Options engine;
+        request::Shared shared; // the same for all workers of a process
         Pool::Options pool;
     };
 
--- a/tests/pure/core.cpp
+++ b/tests/pure/core.cpp
@@ -34,7 +34,7 @@
 TEST_CASE("every error kind has its own name and a consistent answer", "[core]")
 {
     std::set<std::string_view> names;
-    for (std::size_t i = 0; i <= static_cast<std::size_t>(core::ErrorKind::KeyUnclear); ++i) {
+    for (std::size_t i = 0; i <= static_cast<std::size_t>(core::ErrorKind::CallerGone); ++i) {
         const core::ErrorAnswer& answer = core::answerFor(static_cast<core::ErrorKind>(i));
         CHECK(names.insert(answer.name).second);
         CHECK(core::errorKindNamed(answer.name) == static_cast<core::ErrorKind>(i));
