--- a/src/request/attempt_end.cpp
+++ b/src/request/attempt_end.cpp
@@ -32,23 +32,23 @@
 
 }
 
-Next<EndedAttempt> TakeAttempt::operator()(AttemptEnded event, core::TimePoint) const
+Next<FinishedAttempt> TakeAttempt::operator()(AttemptEnded event, core::TimePoint) const
 {
     const auto found = this->state.attempts.find(event.attempt);
     if (found == this->state.attempts.end() || found->second.request != event.request)
-        return Next<EndedAttempt>::end({});
-    EndedAttempt ended { .event = event, .attempt = std::move(found->second) };
+        return Next<FinishedAttempt>::end({});
+    FinishedAttempt ended { .event = event, .attempt = std::move(found->second) };
     this->state.attempts.erase(found);
-    return Next<EndedAttempt>::pass(std::move(ended));
+    return Next<FinishedAttempt>::pass(std::move(ended));
 }
 
-Next<EndedAttempt> ReleaseSlot::operator()(EndedAttempt ended, core::TimePoint) const
+Next<FinishedAttempt> ReleaseSlot::operator()(FinishedAttempt ended, core::TimePoint) const
 {
     this->state.release(ended.attempt);
-    return Next<EndedAttempt>::pass(std::move(ended));
+    return Next<FinishedAttempt>::pass(std::move(ended));
 }
 
-Next<EndedAttempt> RecordResult::operator()(EndedAttempt ended, core::TimePoint now) const
+Next<FinishedAttempt> RecordResult::operator()(FinishedAttempt ended, core::TimePoint now) const
 {
     const Attempt& attempt = ended.attempt;
     const core::ServerEntry& server = attempt.serverEntry();
@@ -63,20 +63,20 @@
         memory.retryBudget.onSuccess();
         memory.hedgeBudget.onSuccess();
     }
-    return Next<EndedAttempt>::pass(std::move(ended));
+    return Next<FinishedAttempt>::pass(std::move(ended));
 }
 
-Next<EndedAttempt> JudgeCrash::operator()(EndedAttempt ended, core::TimePoint now) const
+Next<FinishedAttempt> JudgeCrash::operator()(FinishedAttempt ended, core::TimePoint now) const
 {
     const Attempt& attempt = ended.attempt;
     CrashBook& book = *this->state.shared.crashes;
     if (ended.event.result == core::AttemptResult::Answered) {
         if (book.onSuccess(attempt.fingerprint, *this->state.table, now))
             this->state.observe(SuspectCleared { .fingerprint = attempt.fingerprint });
-        return Next<EndedAttempt>::pass(std::move(ended));
+        return Next<FinishedAttempt>::pass(std::move(ended));
     }
     if (ended.event.result != core::AttemptResult::Broken || attempt.headAt)
-        return Next<EndedAttempt>::pass(std::move(ended));
+        return Next<FinishedAttempt>::pass(std::move(ended));
     const std::uint64_t server = attempt.serverEntry().key;
     CrashObserved crash { .server = attempt.serverEntry().name, .inFlight = { attempt.fingerprint }, .isolated = attempt.isolated };
     for (const auto& [id, other] : this->state.attempts) {
@@ -86,10 +86,10 @@
     for (core::Fingerprint fingerprint : crash.inFlight)
         book.onCrash(fingerprint, attempt.isolated && fingerprint == attempt.fingerprint, now);
     this->state.observe(std::move(crash));
-    return Next<EndedAttempt>::pass(std::move(ended));
+    return Next<FinishedAttempt>::pass(std::move(ended));
 }
 
-Next<Done> Conclude::operator()(EndedAttempt ended, core::TimePoint now) const
+Next<Done> Conclude::operator()(FinishedAttempt ended, core::TimePoint now) const
 {
     Active* request = this->state.find(ended.event.request);
     if (request && std::erase(request->live, ended.event.attempt) > 0)
@@ -97,7 +97,7 @@
     return Next<Done>::pass({});
 }
 
-void Conclude::concludeLive(Active& request, const EndedAttempt& ended, core::TimePoint now) const
+void Conclude::concludeLive(Active& request, const FinishedAttempt& ended, core::TimePoint now) const
 {
     if (request.relayed)
         return this->state.finish(request, now);
@@ -111,7 +111,7 @@
 }
 
 // A complete answer without AnswerStarted is a fault of the front end; the request was run, so it ends here.
-void Conclude::retryOrReject(Active& request, const EndedAttempt& ended, core::TimePoint now) const
+void Conclude::retryOrReject(Active& request, const FinishedAttempt& ended, core::TimePoint now) const
 {
     const Context& context = request.context;
     const FailedAttempt failed { .result = ended.event.result, .repeat = context.classEntry().repeat, .mayHaveRun = request.mayHaveRun, .replayable = context.arrival.replayable, .answerStarted = false, .attempts = static_cast<unsigned>(request.tried.size()), .deadline = context.deadline };
--- a/src/request/attempt_end.h
+++ b/src/request/attempt_end.h
@@ -5,7 +5,7 @@
 namespace cranberryshed::request {
 
 // An attempt that ended and has left State::attempts.
-struct EndedAttempt {
+struct FinishedAttempt {
     AttemptEnded event;
     Attempt attempt;
 };
@@ -14,21 +14,21 @@
 struct TakeAttempt {
     State& state;
 
-    Next<EndedAttempt> operator()(AttemptEnded event, core::TimePoint now) const;
+    Next<FinishedAttempt> operator()(AttemptEnded event, core::TimePoint now) const;
 };
 
 // Filter: gives the slot back.
 struct ReleaseSlot {
     State& state;
 
-    Next<EndedAttempt> operator()(EndedAttempt ended, core::TimePoint now) const;
+    Next<FinishedAttempt> operator()(FinishedAttempt ended, core::TimePoint now) const;
 };
 
 // Filter: remembers how the server and the class are doing, and tells control.
 struct RecordResult {
     State& state;
 
-    Next<EndedAttempt> operator()(EndedAttempt ended, core::TimePoint now) const;
+    Next<FinishedAttempt> operator()(FinishedAttempt ended, core::TimePoint now) const;
 };
 
 // Filter: makes suspects of what ran on a server that broke a connection without an answer, and clears a
@@ -36,18 +36,18 @@
 struct JudgeCrash {
     State& state;
 
-    Next<EndedAttempt> operator()(EndedAttempt ended, core::TimePoint now) const;
+    Next<FinishedAttempt> operator()(FinishedAttempt ended, core::TimePoint now) const;
 };
 
 // Filter, the last one: ends the request, or plans its next attempt.
 struct Conclude {
     State& state;
 
-    Next<Done> operator()(EndedAttempt ended, core::TimePoint now) const;
+    Next<Done> operator()(FinishedAttempt ended, core::TimePoint now) const;
 
 private:
-    void concludeLive(Active&, const EndedAttempt&, core::TimePoint now) const;
-    void retryOrReject(Active&, const EndedAttempt&, core::TimePoint now) const;
+    void concludeLive(Active&, const FinishedAttempt&, core::TimePoint now) const;
+    void retryOrReject(Active&, const FinishedAttempt&, core::TimePoint now) const;
 };
 
 }
