--- /dev/null
+++ b/bench/decisions/choice.cpp
@@ -0,0 +1,122 @@
+#include "decisions/bench.h"
+#include "decisions/fleet.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace cranberryshed::bench {
+
+namespace {
+
+    double p99Milliseconds(Result result)
+    {
+        return quantile(result.classes[0].latencies, 0.99) * 1000;
+    }
+
+    struct Measured {
+        double ours = 0;
+        double ideal = 0;
+    };
+
+    Measured compare(Report& report, const Scenario& scenario, std::uint64_t seed, double target)
+    {
+        const Events events = drawEvents(scenario, seed);
+        const Measured measured { .ours = p99Milliseconds(runFleet<request::HomeSubset>(scenario, events, seed)), .ideal = p99Milliseconds(runIdeal(scenario, events)) };
+        const double ratio = measured.ours / measured.ideal;
+        Line line { .bench = "choice", .name = scenario.name, .figures = {
+                                                                  { "home_p99_ms", measured.ours },
+                                                                  { "ideal_p99_ms", measured.ideal },
+                                                                  { "roundrobin_p99_ms", p99Milliseconds(runFleet<request::RoundRobin>(scenario, events, seed)) },
+                                                                  { "twochoices_p99_ms", p99Milliseconds(runFleet<request::TwoChoices>(scenario, events, seed)) },
+                                                                  { "leastlatency_p99_ms", p99Milliseconds(runFleet<request::LeastLatency>(scenario, events, seed)) },
+                                                                  { "ratio", ratio },
+                                                              },
+            .target = {} };
+        if (target > 0) {
+            line.target = "ratio <= " + std::to_string(target).substr(0, 3);
+            line.met = ratio <= target;
+        }
+        report.add(line);
+        return measured;
+    }
+
+    struct Size {
+        std::string name;
+        std::uint32_t servers;
+        std::uint32_t entryVms;
+        double meanSeconds;
+    };
+
+    const std::vector<Size> sizes = {
+        { "foundry ledger 20/8", 20, 8, 0.010 },
+        { "foundry mould 10/8", 10, 8, 0.030 },
+        { "schools repo 25/9", 25, 9, 0.020 },
+        { "schools archive 10/9", 10, 9, 0.040 },
+    };
+
+    Scenario shortOnly(const Size& size, double load, double sigma)
+    {
+        return { .name = size.name + " load " + std::to_string(load).substr(0, 3), .servers = size.servers, .entryVms = size.entryVms, .classes = { { .name = "short", .meanSeconds = size.meanSeconds, .sigma = sigma, .load = load } } };
+    }
+
+    // Cost of one choice with its slot taken and released.
+    double choiceNanoseconds(std::uint32_t servers, std::uint64_t seed)
+    {
+        constexpr std::uint32_t rounds = 300'000;
+        const Scenario scenario { .name = {}, .servers = servers, .entryVms = 9, .classes = { { .name = "short" } } };
+        const std::shared_ptr<core::SteeringTable> table = makeTable(scenario, 0);
+        for (core::ServerEntry& server : table->servers)
+            server.report = core::LoadReport { .inFlight = 1, .receivedAt = core::TimePoint {} };
+        request::HomeSubset chooser;
+        core::RandomEngine random(seed);
+        std::deque<std::pair<core::ServerIndex, core::TimePoint>> running;
+        core::TimePoint now {};
+        const auto start = std::chrono::steady_clock::now();
+        for (std::uint32_t i = 0; i < rounds; ++i) {
+            now += core::Duration(100);
+            if (const auto server = chooser.choose(*table, { 0 }, {}, random, now))
+                running.emplace_back(*server, now);
+            if (running.size() < std::min(servers, 60U))
+                continue;
+            const auto [server, startedAt] = running.front();
+            running.pop_front();
+            table->at(server).inFlight->release();
+            chooser.ended({ .serverKey = table->at(server).key, .classKey = core::hashBytes("short"), .startedAt = startedAt }, now);
+        }
+        const std::chrono::duration<double, std::nano> elapsed = std::chrono::steady_clock::now() - start;
+        return elapsed.count() / rounds;
+    }
+
+}
+
+void choice(Report& report, std::uint64_t seed)
+{
+    for (std::uint32_t servers : { 25U, 250U, 2500U }) {
+        const double cost = choiceNanoseconds(servers, seed);
+        report.add({ .bench = "choice", .name = "cost with its end, servers " + std::to_string(servers), .figures = { { "ns", cost } }, .target = servers == 25 ? "ns <= 1000" : "", .met = servers != 25 || cost <= 1000 });
+    }
+    for (const Size& size : sizes)
+        compare(report, shortOnly(size, 0.8, 0.5), seed, 1.3);
+    Scenario heavy = shortOnly(sizes[2], 0.8, 0.8);
+    heavy.name += " sigma 0.8";
+    compare(report, heavy, seed, 0);
+    Scenario hot = shortOnly(sizes[2], 0.7, 0.5);
+    hot.hotFactor = 2;
+    hot.name += " hot VM 2x";
+    compare(report, hot, seed, 0);
+    Scenario far = shortOnly(sizes[2], 0.8, 0.5);
+    far.oneWay = std::chrono::milliseconds(4);
+    far.name += " 4 ms away";
+    compare(report, far, seed, 0);
+    for (const Size& size : sizes) {
+        const Scenario without = shortOnly(size, 0.5, 0.5);
+        Scenario with = without;
+        with.slowShare = 0.2;
+        with.name += " 20 % slow";
+        const double clean = compare(report, without, seed, 0).ours;
+        const double slowed = compare(report, with, seed, 0).ours;
+        report.add({ .bench = "choice", .name = size.name + " slow/without", .figures = { { "ratio", slowed / clean } }, .target = "ratio <= 1.5", .met = slowed <= 1.5 * clean });
+    }
+}
+
+}
--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -15,6 +15,7 @@
 };
 
 constexpr std::array rows = {
+    Row { "choice", bench::choice },
     Row { "admission", bench::admission },
 };
 
--- /dev/null
+++ b/src/request/book.cpp
@@ -0,0 +1,128 @@
+#include "request/book.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace cranberryshed::request {
+
+namespace {
+
+    bool mayGetWork(const core::ServerEntry& server)
+    {
+        return (server.state == core::ServerState::Active || server.state == core::ServerState::Warming) && server.warmth > 0;
+    }
+
+}
+
+void ServerBook::refresh(const core::SteeringTable& table)
+{
+    if (this->seen == &table && this->generation == table.generation)
+        return;
+    this->seen = &table;
+    this->generation = table.generation;
+    this->rebuildRecords(table);
+    this->classes.assign(table.classes.size(), {});
+    for (std::size_t i = 0; i < table.classes.size(); ++i)
+        this->rebuildClass(table, table.classes[i], this->classes[i]);
+}
+
+// Carries the records over to the new table's indexes.
+void ServerBook::rebuildRecords(const core::SteeringTable& table)
+{
+    std::vector<ServerRecord> carried(table.servers.size());
+    std::unordered_map<std::uint64_t, std::uint32_t> newIndexes;
+    std::unordered_map<std::string_view, std::size_t> poolNumbers;
+    std::vector<std::uint64_t> keys;
+    for (std::uint32_t i = 0; i < table.servers.size(); ++i) {
+        const core::ServerEntry& server = table.servers[i];
+        const auto known = this->indexes.find(server.key);
+        if (known != this->indexes.end())
+            carried[i] = this->records[known->second];
+        carried[i].pool = poolNumbers.try_emplace(server.service, poolNumbers.size()).first->second;
+        if (server.report && server.report->receivedAt != carried[i].reportedAt) {
+            const double own = server.inFlight->inFlight();
+            carried[i].foreignAtReport = std::max(0.0, server.report->inFlight - own);
+            carried[i].reportedAt = server.report->receivedAt;
+        }
+        newIndexes[server.key] = i;
+        keys.push_back(server.key);
+    }
+    this->pools.assign(poolNumbers.size(), {});
+    for (const ServerRecord& entry : carried)
+        this->pools[entry.pool].spilled += entry.spilled;
+    this->records = std::move(carried);
+    this->indexes = std::move(newIndexes);
+    this->outliers.setServers(keys);
+}
+
+void ServerBook::rebuildClass(const core::SteeringTable& table, const core::ClassEntry& entry, ClassRecord& classRecord)
+{
+    classRecord.key = core::hashBytes(entry.name);
+    for (core::ServerIndex index : entry.servers) {
+        const core::ServerEntry& server = table.at(index);
+        if (!mayGetWork(server))
+            continue;
+        classRecord.all.push_back(index);
+        auto group = std::ranges::find(classRecord.groups, server.region, &ServerGroup::region);
+        if (group == classRecord.groups.end())
+            group = classRecord.groups.insert(group, { .region = server.region, .home = {}, .rest = {} });
+        (server.home ? group->home : group->rest).push_back(index);
+        const double usable = warmSlots(server);
+        const double used = server.report ? server.report->inFlight : this->options.assumedUse * usable;
+        // A mean over many servers stays useful far longer than the report of one.
+        group->slots += usable;
+        group->freeSlots += std::max(0.0, usable - used);
+        group->foreignPrior += std::max(0.0, used - server.inFlight->inFlight());
+    }
+    for (ServerGroup& group : classRecord.groups)
+        group.foreignPrior /= static_cast<double>(group.home.size() + group.rest.size());
+}
+
+double ServerBook::reportWeight(core::TimePoint reportedAt, core::TimePoint now) const
+{
+    const double age = std::max(0.0, std::chrono::duration<double>(now - reportedAt).count());
+    const double half = std::chrono::duration<double>(this->options.reportAge).count();
+    return half / (half + age);
+}
+
+double ServerBook::foreign(const core::ServerEntry& server, core::ServerIndex index, const ServerGroup& group, core::TimePoint now) const
+{
+    if (!server.report)
+        return group.foreignPrior;
+    const ServerRecord& entry = this->records[index.value];
+    const double weight = this->reportWeight(entry.reportedAt, now);
+    return weight * entry.foreignAtReport + (1 - weight) * group.foreignPrior;
+}
+
+void ServerBook::started(const core::SteeringTable& table, core::ClassIndex classIndex, core::ServerIndex index, core::TimePoint now)
+{
+    const core::ServerEntry& server = table.at(index);
+    this->outliers.started({ .serverKey = server.key, .classKey = this->classKey(classIndex), .length = table.at(classIndex).length, .startedAt = now });
+    if (server.home)
+        return;
+    ServerRecord& entry = this->records[index.value];
+    ++entry.spilled;
+    ++this->pools[entry.pool].spilled;
+}
+
+void ServerBook::ended(const EndedAttempt& attempt, core::TimePoint now)
+{
+    const double usual = this->outliers.typicalSeconds(attempt.classKey);
+    this->outliers.ended({ .serverKey = attempt.serverKey, .classKey = attempt.classKey, .length = attempt.length, .startedAt = attempt.startedAt }, attempt.result, now);
+    const auto found = this->indexes.find(attempt.serverKey);
+    if (found == this->indexes.end())
+        return;
+    ServerRecord& entry = this->records[found->second];
+    if (entry.spilled > 0) {
+        --entry.spilled;
+        --this->pools[entry.pool].spilled;
+    }
+    if (attempt.length != core::WorkLength::Short || attempt.result != core::AttemptResult::Answered || usual <= 0)
+        return;
+    const double ratio = std::chrono::duration<double>(now - attempt.startedAt).count() / usual;
+    entry.latency += this->options.latencyWeight * (ratio - entry.latency);
+}
+
+}
--- /dev/null
+++ b/src/request/book.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "core/table.h"
+#include "request/lanes.h"
+#include "request/outlier.h"
+
+#include <cstdint>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace cranberryshed::request {
+
+// What an attempt's end tells the chooser that started it.
+struct EndedAttempt {
+    std::uint64_t serverKey = 0; // ServerEntry::key
+    std::uint64_t classKey = 0; // hash of the class's name
+    core::WorkLength length = core::WorkLength::Short;
+    core::TimePoint startedAt {};
+    core::AttemptResult result = core::AttemptResult::Answered;
+};
+
+// The backend servers of one class in one region that may get work.
+struct ServerGroup {
+    core::RegionIndex region;
+    std::vector<core::ServerIndex> home;
+    std::vector<core::ServerIndex> rest;
+    double slots = 0; // of all of them
+    double freeSlots = 0; // by the reports, weighted by their age
+    double foreignPrior = 0; // mean of other entry VMs' requests per server
+};
+
+// What the choosers of one traffic thread know about backend servers: who may get work, what other entry VMs
+// are likely to run there, how fast each one answers. Lists are built once for each steering table, so that
+// a choice touches only the servers that it looks at.
+class ServerBook {
+public:
+    struct Options {
+        OutlierDetector::Options outlier {};
+        core::Duration reportAge = std::chrono::milliseconds(100); // at which a report counts half
+        double assumedUse = 0.8; // of the slots of a server without a report
+        double latencyWeight = 0.2; // of one sample in the moving average
+    };
+
+    explicit ServerBook(Options bookOptions)
+        : options(bookOptions)
+        , outliers(bookOptions.outlier)
+    {
+    }
+
+    // Rebuilds the lists if the table is not the one seen last. Tables differ by their generation.
+    void refresh(const core::SteeringTable&);
+
+    // The groups of a class, by region, regions without a server left out.
+    const std::vector<ServerGroup>& groups(core::ClassIndex index) const { return this->classes[index.value].groups; }
+    std::span<const core::ServerIndex> all(core::ClassIndex index) const { return this->classes[index.value].all; }
+    std::uint64_t classKey(core::ClassIndex index) const { return this->classes[index.value].key; }
+
+    // Expected requests of other entry VMs at the server: the last report less this VM's own part, weighted by
+    // its age, and the mean over the group for the rest.
+    double foreign(const core::ServerEntry&, core::ServerIndex, const ServerGroup&, core::TimePoint now) const;
+
+    // Moving average of the time of short attempts at the server, in usual times of their class; 1 if unknown.
+    double latency(core::ServerIndex index) const { return this->records[index.value].latency; }
+
+    Standing standing(const core::ServerEntry& server, core::TimePoint now) const { return this->outliers.standing(server.key, now); }
+
+    // Requests that this thread runs outside its home part, at servers of the same service.
+    std::size_t spilled(core::ServerIndex index) const { return this->pools[this->records[index.value].pool].spilled; }
+
+    void started(const core::SteeringTable&, core::ClassIndex, core::ServerIndex, core::TimePoint now);
+    void ended(const EndedAttempt&, core::TimePoint now);
+
+    const OutlierDetector& detector() const { return this->outliers; }
+
+private:
+    struct ClassRecord {
+        std::uint64_t key = 0;
+        std::vector<core::ServerIndex> all;
+        std::vector<ServerGroup> groups;
+    };
+
+    struct ServerRecord {
+        double latency = 1;
+        double foreignAtReport = 0;
+        core::TimePoint reportedAt {};
+        std::size_t pool = 0;
+        std::uint32_t spilled = 0;
+    };
+
+    struct Pool {
+        std::size_t spilled = 0;
+    };
+
+    void rebuildRecords(const core::SteeringTable&);
+    void rebuildClass(const core::SteeringTable&, const core::ClassEntry&, ClassRecord&);
+    double reportWeight(core::TimePoint reportedAt, core::TimePoint now) const;
+
+    Options options;
+    OutlierDetector outliers;
+    std::uint64_t generation = 0;
+    const core::SteeringTable* seen = nullptr; // only compared
+    std::vector<ClassRecord> classes; // by ClassIndex
+    std::vector<ServerRecord> records; // by ServerIndex
+    std::unordered_map<std::uint64_t, std::uint32_t> indexes; // server key to ServerIndex
+    std::vector<Pool> pools; // by service
+};
+
+}
--- a/src/request/choose.cpp
+++ b/src/request/choose.cpp
@@ -1,9 +1,40 @@
 #include "request/choose.h"
 
 #include <algorithm>
+#include <bit>
+#include <limits>
 
 namespace cranberryshed::request {
 
+namespace {
+
+    constexpr std::size_t latencySample = 8; // servers that LeastLatency compares
+    constexpr std::size_t suspectPenalty = 100; // more than any count of requests at one server
+
+    bool contains(std::span<const core::ServerIndex> list, core::ServerIndex index)
+    {
+        return std::ranges::find(list, index) != list.end();
+    }
+
+    core::ServerIndex draw(std::span<const core::ServerIndex> list, core::RandomEngine& random)
+    {
+        // The high 32 bits scaled to the size: cheaper than uniform_int_distribution, with a bias below 2^-20.
+        return list[((random() >> 32) * list.size()) >> 32];
+    }
+
+    // Draws beyond the first two before a chooser gives up, so that it costs O(log n).
+    std::size_t extraDraws(std::size_t servers)
+    {
+        return static_cast<std::size_t>(std::bit_width(servers));
+    }
+
+    const ServerGroup& groupOf(const ServerBook& book, core::ClassIndex classIndex, core::RegionIndex region)
+    {
+        return *std::ranges::find(book.groups(classIndex), region, &ServerGroup::region);
+    }
+
+}
+
 std::optional<core::ServerIndex> RoundRobin::choose(const core::SteeringTable& table, core::ClassIndex classIndex, std::span<const core::ServerIndex> excluded, core::RandomEngine&, core::TimePoint)
 {
     const std::vector<core::ServerIndex>& servers = table.at(classIndex).servers;
@@ -12,7 +43,7 @@
         const core::ServerEntry& server = table.at(candidate);
         if (server.state != core::ServerState::Active && server.state != core::ServerState::Warming)
             continue;
-        if (std::ranges::find(excluded, candidate) != excluded.end())
+        if (contains(excluded, candidate))
             continue;
         if (server.inFlight->tryAcquire(server.slots))
             return candidate;
@@ -20,4 +51,177 @@
     return std::nullopt;
 }
 
+std::optional<core::ServerIndex> TwoChoices::choose(const core::SteeringTable& table, core::ClassIndex classIndex, std::span<const core::ServerIndex> excluded, core::RandomEngine& random, core::TimePoint now)
+{
+    this->book.refresh(table);
+    const std::span<const core::ServerIndex> servers = this->book.all(classIndex);
+    if (servers.empty())
+        return std::nullopt;
+    const auto load = [&](core::ServerIndex index) {
+        const core::ServerEntry& server = table.at(index);
+        return server.inFlight->inFlight() + this->book.foreign(server, index, groupOf(this->book, classIndex, server.region), now);
+    };
+    for (std::size_t i = 0; i <= extraDraws(servers.size()); ++i) {
+        core::ServerIndex first = draw(servers, random);
+        core::ServerIndex second = draw(servers, random);
+        if (load(second) < load(first))
+            std::swap(first, second);
+        for (core::ServerIndex index : { first, second }) {
+            if (contains(excluded, index) || !table.at(index).inFlight->tryAcquire(warmSlots(table.at(index))))
+                continue;
+            this->book.started(table, classIndex, index, now);
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<core::ServerIndex> LeastLatency::choose(const core::SteeringTable& table, core::ClassIndex classIndex, std::span<const core::ServerIndex> excluded, core::RandomEngine& random, core::TimePoint now)
+{
+    this->book.refresh(table);
+    const std::span<const core::ServerIndex> servers = this->book.all(classIndex);
+    struct Sample {
+        core::ServerIndex index;
+        double load;
+        double latency;
+    };
+    std::vector<Sample> samples;
+    samples.reserve(latencySample);
+    for (std::size_t i = 0; i < std::min(latencySample, servers.size()); ++i) {
+        const core::ServerIndex index = draw(servers, random);
+        const core::ServerEntry& server = table.at(index);
+        if (contains(excluded, index) || server.inFlight->inFlight() >= warmSlots(server))
+            continue;
+        samples.push_back({ index, server.inFlight->inFlight() + this->book.foreign(server, index, groupOf(this->book, classIndex, server.region), now), this->book.latency(index) });
+    }
+    if (samples.empty())
+        return std::nullopt;
+    std::ranges::sort(samples, {}, &Sample::load);
+    // Cold servers are those up to the sample's 5/6 quantile, as the paper's default of 0.84.
+    const double hot = samples[samples.size() * 5 / 6].load;
+    std::ranges::stable_sort(samples, {}, [&](const Sample& sample) { return sample.load < hot ? sample.latency : std::numeric_limits<double>::max(); });
+    for (const Sample& sample : samples) {
+        if (!table.at(sample.index).inFlight->tryAcquire(warmSlots(table.at(sample.index))))
+            continue;
+        this->book.started(table, classIndex, sample.index, now);
+        return sample.index;
+    }
+    return std::nullopt;
+}
+
+std::optional<core::ServerIndex> HomeSubset::choose(const core::SteeringTable& table, core::ClassIndex classIndex, std::span<const core::ServerIndex> excluded, core::RandomEngine& random, core::TimePoint now)
+{
+    this->book.refresh(table);
+    const core::ClassEntry& classEntry = table.at(classIndex);
+    const std::uint64_t classKey = this->book.classKey(classIndex);
+    const auto tryGroup = [&](const ServerGroup& group) {
+        return this->chooseIn({ .table = table, .classEntry = classEntry, .group = group, .excluded = excluded, .random = random, .now = now });
+    };
+    std::optional<core::ServerIndex> chosen;
+    if (classEntry.regionShares.empty()) {
+        for (const ServerGroup& group : this->book.groups(classIndex)) {
+            chosen = tryGroup(group);
+            if (chosen)
+                break;
+        }
+    } else {
+        for (core::RegionIndex region : this->regionShares.order(classKey, classEntry.regionShares)) {
+            const auto group = std::ranges::find(this->book.groups(classIndex), region, &ServerGroup::region);
+            if (group == this->book.groups(classIndex).end())
+                continue;
+            chosen = tryGroup(*group);
+            if (chosen) {
+                this->regionShares.count(classKey, region, classEntry.regionShares);
+                break;
+            }
+        }
+    }
+    if (chosen)
+        this->book.started(table, classIndex, *chosen, now);
+    return chosen;
+}
+
+std::optional<core::ServerIndex> HomeSubset::chooseIn(const Request& request)
+{
+    if (const std::optional<core::ServerIndex> home = this->chooseHome(request, Standing::Probing))
+        return home;
+    if (this->maySpill(request)) {
+        if (const std::optional<core::ServerIndex> other = this->chooseRest(request))
+            return other;
+    }
+    return std::nullopt;
+}
+
+// The least loaded of the home part, of a random sample if that is large.
+std::optional<core::ServerIndex> HomeSubset::chooseHome(const Request& request, Standing worst)
+{
+    const std::vector<core::ServerIndex>& home = request.group.home;
+    const std::size_t count = std::min(home.size(), this->options.homeSample);
+    std::optional<core::ServerIndex> best;
+    double bestScore = std::numeric_limits<double>::max();
+    const std::size_t offset = home.empty() ? 0 : request.random() % home.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        const core::ServerIndex index = home[(offset + i) % home.size()];
+        const std::optional<double> candidate = this->score(request, index, worst);
+        if (!candidate || *candidate >= bestScore)
+            continue;
+        best = index;
+        bestScore = *candidate;
+    }
+    if (!best)
+        return std::nullopt;
+    const core::ServerEntry& server = request.table.at(*best);
+    if (!server.inFlight->tryAcquire(this->lanes.limit(server, request.classEntry.length)))
+        return std::nullopt;
+    return best;
+}
+
+std::optional<core::ServerIndex> HomeSubset::chooseRest(const Request& request)
+{
+    const std::vector<core::ServerIndex>& rest = request.group.rest;
+    for (std::size_t i = 0; !rest.empty() && i <= extraDraws(rest.size()); ++i) {
+        core::ServerIndex chosen = draw(rest, request.random);
+        const core::ServerIndex other = draw(rest, request.random);
+        std::optional<double> chosenScore = this->score(request, chosen, Standing::Usable);
+        const std::optional<double> otherScore = this->score(request, other, Standing::Usable);
+        if (otherScore && (!chosenScore || *otherScore < *chosenScore)) {
+            chosen = other;
+            chosenScore = otherScore;
+        }
+        if (!chosenScore)
+            continue;
+        const core::ServerEntry& server = request.table.at(chosen);
+        if (server.inFlight->tryAcquire(this->lanes.limit(server, request.classEntry.length)))
+            return chosen;
+    }
+    return std::nullopt;
+}
+
+// Bounds what runs outside the home part, since other entry VMs spill at the same time.
+bool HomeSubset::maySpill(const Request& request) const
+{
+    const ServerGroup& group = request.group;
+    if (group.rest.empty())
+        return false;
+    if (request.classEntry.length == core::WorkLength::Long && this->options.homeOnlyLong && !group.home.empty())
+        return false;
+    const auto members = static_cast<double>(std::max<std::size_t>(1, std::ranges::count(request.table.members, core::MemberState::Alive, &core::MemberEntry::state)));
+    const double allowed = this->options.spillFactor * group.freeSlots / members;
+    return static_cast<double>(this->book.spilled(group.rest.front())) < std::max(allowed, static_cast<double>(this->options.leastSpill));
+}
+
+// Expected requests per usable slot, or none if the server must not get this request.
+std::optional<double> HomeSubset::score(const Request& request, core::ServerIndex index, Standing worst) const
+{
+    const core::ServerEntry& server = request.table.at(index);
+    const std::uint32_t own = server.inFlight->inFlight();
+    if (own >= this->lanes.limit(server, request.classEntry.length) || contains(request.excluded, index))
+        return std::nullopt;
+    const Standing standing = this->book.standing(server, request.now);
+    if (standing > worst)
+        return std::nullopt;
+    const double load = own + this->book.foreign(server, index, request.group, request.now);
+    return load / warmSlots(server) + (standing == Standing::Suspect ? suspectPenalty : 0);
+}
+
 }
--- a/src/request/choose.h
+++ b/src/request/choose.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "core/table.h"
+#include "request/book.h"
+#include "request/regions.h"
 
 #include <concepts>
 #include <optional>
@@ -19,6 +21,13 @@
         } -> std::same_as<std::optional<core::ServerIndex>>;
 };
 
+// A chooser that learns from the ends of the attempts that it started. The engine reports each one once.
+template <typename Candidate>
+concept LearningChooser = Chooser<Candidate> && requires(Candidate& chooser, const EndedAttempt& attempt, core::TimePoint now)
+{
+    chooser.ended(attempt, now);
+};
+
 // Tries the servers of the class in turn. The simplest chooser, kept for comparison.
 class RoundRobin {
 public:
@@ -28,4 +37,89 @@
     std::size_t next = 0;
 };
 
+// Takes the better of two random servers by own requests in flight and the last report. For comparison.
+class TwoChoices {
+public:
+    explicit TwoChoices(ServerBook::Options bookOptions = {})
+        : book(bookOptions)
+    {
+    }
+
+    std::optional<core::ServerIndex> choose(const core::SteeringTable&, core::ClassIndex, std::span<const core::ServerIndex> excluded, core::RandomEngine&, core::TimePoint now);
+    void ended(const EndedAttempt& attempt, core::TimePoint now) { this->book.ended(attempt, now); }
+
+private:
+    ServerBook book;
+};
+
+// Samples some servers, leaves out the hot ones (many requests in flight) and takes the one with the lowest
+// latency; if all are hot, the one with the fewest requests in flight. After "Load is not what you should
+// balance: Introducing Prequal" (Wydrowski et al., NSDI 2024), with reports in place of its probes. For comparison.
+class LeastLatency {
+public:
+    explicit LeastLatency(ServerBook::Options bookOptions = {})
+        : book(bookOptions)
+    {
+    }
+
+    std::optional<core::ServerIndex> choose(const core::SteeringTable&, core::ClassIndex, std::span<const core::ServerIndex> excluded, core::RandomEngine&, core::TimePoint now);
+    void ended(const EndedAttempt& attempt, core::TimePoint now) { this->book.ended(attempt, now); }
+
+private:
+    ServerBook book;
+};
+
+// Uses the home part of the servers first, where this entry VM's own counts are nearly the truth, and spills
+// over to the better of two random others. Regions get the shares that the steering table states.
+class HomeSubset {
+public:
+    struct Options {
+        ServerBook::Options book {};
+        std::size_t homeSample = 8; // home servers compared for one choice
+        double spillFactor = 2; // requests outside the home part, in this VM's equal part of the free slots
+        std::size_t leastSpill = 1; // that may always run outside the home part
+        bool homeOnlyLong = true; // long classes stay in the home part
+    };
+
+    HomeSubset()
+        : HomeSubset(Options {})
+    {
+    }
+
+    explicit HomeSubset(Options chooserOptions)
+        : options(chooserOptions)
+        , book(chooserOptions.book)
+    {
+    }
+
+    std::optional<core::ServerIndex> choose(const core::SteeringTable&, core::ClassIndex, std::span<const core::ServerIndex> excluded, core::RandomEngine&, core::TimePoint now);
+    void ended(const EndedAttempt& attempt, core::TimePoint now) { this->book.ended(attempt, now); }
+
+    // The slots that long classes may fill; moves with demand.
+    void setLanes(const LaneLimits& limits) { this->lanes = limits; }
+
+    const OutlierDetector& detector() const { return this->book.detector(); }
+
+private:
+    struct Request {
+        const core::SteeringTable& table;
+        const core::ClassEntry& classEntry;
+        const ServerGroup& group;
+        std::span<const core::ServerIndex> excluded;
+        core::RandomEngine& random;
+        core::TimePoint now;
+    };
+
+    std::optional<core::ServerIndex> chooseIn(const Request&);
+    std::optional<core::ServerIndex> chooseHome(const Request&, Standing worst);
+    std::optional<core::ServerIndex> chooseRest(const Request&);
+    bool maySpill(const Request&) const;
+    std::optional<double> score(const Request&, core::ServerIndex, Standing worst) const;
+
+    Options options;
+    ServerBook book;
+    LaneLimits lanes;
+    RegionShares regionShares;
+};
+
 }
--- /dev/null
+++ b/src/request/lanes.cpp
@@ -0,0 +1,78 @@
+#include "request/lanes.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cranberryshed::request {
+
+namespace {
+
+    constexpr double smallestLongPart = 1.0 / 3;
+    constexpr double largestLongPart = 2.0 / 3;
+
+}
+
+void LaneDemand::add(core::WorkLength length, core::Duration serviceTime, core::TimePoint now)
+{
+    if (now > this->updatedAt) {
+        const double decay = std::exp(-std::chrono::duration<double>(now - this->updatedAt) / std::chrono::duration<double>(this->decayTime));
+        this->shortTime *= decay;
+        this->longTime *= decay;
+        this->updatedAt = now;
+    }
+    (length == core::WorkLength::Long ? this->longTime : this->shortTime) += std::chrono::duration<double>(serviceTime).count();
+}
+
+double LaneDemand::longShare() const
+{
+    const double sum = this->shortTime + this->longTime;
+    return sum > 0 ? this->longTime / sum : 0.5;
+}
+
+std::uint32_t LaneLimits::limit(const core::ServerEntry& server, core::WorkLength length) const
+{
+    const std::uint32_t usable = warmSlots(server);
+    if (length == core::WorkLength::Short)
+        return usable;
+    const double exact = this->longPart * server.slots;
+    const double whole = std::floor(exact + 1e-9);
+    // The fraction is spread over the servers: that share of them allows one slot more.
+    const double draw = static_cast<double>(server.key >> 11) * 0x1.0p-53;
+    const auto allowed = static_cast<std::uint32_t>(whole + (exact - whole > draw + 1e-9 ? 1 : 0));
+    const std::uint32_t largest = server.slots > 1 ? server.slots - 1 : 1;
+    return std::min(usable, std::clamp(allowed, 1U, largest));
+}
+
+LaneLimits LaneLimits::forDemand(double longShare)
+{
+    return { .longPart = std::clamp(longShare, smallestLongPart, largestLongPart) };
+}
+
+std::uint32_t warmSlots(const core::ServerEntry& server)
+{
+    if (server.state != core::ServerState::Warming && server.warmth >= 1)
+        return server.slots;
+    const double usable = std::floor(std::clamp(server.warmth, 0.0, 1.0) * server.slots + 1e-9);
+    return std::max(1U, static_cast<std::uint32_t>(usable));
+}
+
+std::uint32_t longConnections(std::uint32_t connectionLimit, std::size_t entryVms, double longPart)
+{
+    const double own = connectionLimit / static_cast<double>(std::max<std::size_t>(entryVms, 1));
+    return std::max(1U, static_cast<std::uint32_t>(own * std::clamp(longPart, smallestLongPart, largestLongPart)));
+}
+
+LinkShare::Limits LinkShare::split(double shortDemandMbit, double longDemandMbit) const
+{
+    const double shortPart = std::min(std::max(shortDemandMbit, 0.0), this->capacityMbit);
+    const double longLimit = std::min(this->capacityMbit - shortPart, this->capacityMbit * (1 - this->shortFloor));
+    const double longPart = std::min(std::max(longDemandMbit, 0.0), longLimit);
+    return { .shortMbit = this->capacityMbit - longPart, .longMbit = longPart };
+}
+
+double LinkShare::perLongTransfer(double shortDemandMbit, double longDemandMbit, std::size_t transfers) const
+{
+    return this->split(shortDemandMbit, longDemandMbit).longMbit / static_cast<double>(std::max<std::size_t>(transfers, 1));
+}
+
+}
--- /dev/null
+++ b/src/request/lanes.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "core/table.h"
+
+namespace cranberryshed::request {
+
+// Follows the slot time that short and long classes ask for, decayed over time.
+class LaneDemand {
+public:
+    explicit LaneDemand(core::Duration memory = std::chrono::seconds(10))
+        : decayTime(memory)
+    {
+    }
+
+    // A request that is expected to hold a slot for this time arrived.
+    void add(core::WorkLength, core::Duration serviceTime, core::TimePoint now);
+
+    // Share of the slot time that long classes ask for, 0 to 1; 0.5 if nothing is known.
+    double longShare() const;
+
+private:
+    core::Duration decayTime;
+    double shortTime = 0;
+    double longTime = 0;
+    core::TimePoint updatedAt {};
+};
+
+// Holds long classes to a part of each backend server's slots.
+//
+// Long work takes a slot only while fewer than its limit are taken in all (trunk reservation), so the last slot
+// of a server never goes to long work. One shared atomic count per server is enough for this.
+struct LaneLimits {
+    double longPart = 2.0 / 3; // of a server's slots
+
+    // Slots of the server that a class of this length may fill, counting those that other classes take.
+    // With slow start, and at least 1 of 3 for either kind.
+    std::uint32_t limit(const core::ServerEntry&, core::WorkLength) const;
+
+    // The part for a share of demand: between 1/3 and 2/3.
+    static LaneLimits forDemand(double longShare);
+};
+
+// Slots that may be used while the server warms up (slow start), at least 1.
+std::uint32_t warmSlots(const core::ServerEntry&);
+
+// The part of connections to a backend server that long classes may hold open from this entry VM.
+std::uint32_t longConnections(std::uint32_t connectionLimit, std::size_t entryVms, double longPart);
+
+// How one link's bandwidth is shared between short and long classes.
+struct LinkShare {
+    double capacityMbit = 0; // of this entry VM's part of the link, each way
+    double shortFloor = 1.0 / 3; // kept free for short work
+
+    struct Limits {
+        double shortMbit = 0;
+        double longMbit = 0;
+    };
+
+    // Short work gets what it asks for up to the capacity; long work gets the rest, at most the part above the floor.
+    Limits split(double shortDemandMbit, double longDemandMbit) const;
+
+    // Rate of each of `transfers` long transfers.
+    double perLongTransfer(double shortDemandMbit, double longDemandMbit, std::size_t transfers) const;
+};
+
+}
--- /dev/null
+++ b/src/request/outlier.cpp
@@ -0,0 +1,150 @@
+#include "request/outlier.h"
+
+#include <algorithm>
+
+namespace cranberryshed::request {
+
+namespace {
+
+    constexpr double medianStep = 0.02; // relative move per sample
+    constexpr std::uint32_t firstSamples = 20; // during which the median moves faster
+
+    double seconds(core::Duration duration)
+    {
+        return std::chrono::duration<double>(duration).count();
+    }
+
+}
+
+void TypicalTime::add(core::Duration elapsed)
+{
+    const double value = std::max(seconds(elapsed), 1e-6);
+    ++this->samples;
+    if (this->samples == 1) {
+        this->median = value;
+        return;
+    }
+    const double step = this->samples < firstSamples ? 1.0 / this->samples : medianStep;
+    this->median *= value > this->median ? 1 + step : 1 / (1 + step);
+}
+
+void OutlierDetector::setServers(const std::vector<std::uint64_t>& serverKeys)
+{
+    std::unordered_map<std::uint64_t, Server> kept;
+    for (std::uint64_t key : serverKeys)
+        kept.emplace(key, std::move(this->servers[key]));
+    this->servers = std::move(kept);
+}
+
+void OutlierDetector::started(const Attempt& attempt)
+{
+    const auto found = this->servers.find(attempt.serverKey);
+    if (found == this->servers.end() || attempt.length != core::WorkLength::Short)
+        return;
+    const double usual = this->typicalSeconds(attempt.classKey);
+    Running running { .startedAt = attempt.startedAt, .suspectAt = core::TimePoint::max() };
+    if (usual > 0)
+        running.suspectAt = attempt.startedAt + core::Duration(static_cast<std::int64_t>(usual * this->options.suspectRatio * 1e6));
+    Server& server = found->second;
+    server.running.push_back(running);
+    server.suspectAt = std::min(server.suspectAt, running.suspectAt);
+}
+
+void OutlierDetector::ended(const Attempt& attempt, core::AttemptResult result, core::TimePoint now)
+{
+    const auto found = this->servers.find(attempt.serverKey);
+    if (found == this->servers.end())
+        return;
+    Server& server = found->second;
+    if (attempt.length == core::WorkLength::Short)
+        this->stopRunning(server, attempt.startedAt);
+    const std::uint32_t strikes = this->strikesFor(attempt, result, now);
+    if (attempt.length == core::WorkLength::Short && result == core::AttemptResult::Answered && !server.probing)
+        this->typical[attempt.classKey].add(std::chrono::duration_cast<core::Duration>(now - attempt.startedAt));
+    if (strikes > 0) {
+        server.strikes += strikes;
+        if (server.strikes >= this->options.strikes || server.probing)
+            this->eject(server, now);
+        return;
+    }
+    if (result != core::AttemptResult::Answered || attempt.startedAt < server.ejectedUntil)
+        return;
+    server.strikes = 0;
+    server.probing = false;
+    server.ejections = 0;
+}
+
+Standing OutlierDetector::standing(std::uint64_t serverKey, core::TimePoint now) const
+{
+    const auto found = this->servers.find(serverKey);
+    if (found == this->servers.end())
+        return Standing::Usable;
+    const Server& server = found->second;
+    if (now < server.ejectedUntil)
+        return Standing::Ejected;
+    if (server.probing)
+        return server.running.empty() ? Standing::Probing : Standing::Ejected;
+    return now > server.suspectAt ? Standing::Suspect : Standing::Usable;
+}
+
+std::size_t OutlierDetector::ejectedCount(core::TimePoint now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(this->servers, [&](const auto& item) { return now < item.second.ejectedUntil || item.second.probing; }));
+}
+
+double OutlierDetector::typicalSeconds(std::uint64_t classKey) const
+{
+    const auto found = this->typical.find(classKey);
+    return found == this->typical.end() ? 0 : found->second.value();
+}
+
+void OutlierDetector::stopRunning(Server& server, core::TimePoint startedAt)
+{
+    const auto found = std::ranges::find(server.running, startedAt, &Running::startedAt);
+    if (found == server.running.end())
+        return;
+    server.running.erase(found);
+    server.suspectAt = core::TimePoint::max();
+    for (const Running& running : server.running)
+        server.suspectAt = std::min(server.suspectAt, running.suspectAt);
+}
+
+void OutlierDetector::eject(Server& server, core::TimePoint now)
+{
+    server.strikes = 0;
+    const auto allowed = static_cast<std::size_t>(this->options.largestShareOut * static_cast<double>(this->servers.size()));
+    if (!server.probing && this->ejectedCount(now) >= allowed)
+        return;
+    if (now < server.ejectedUntil)
+        return; // this attempt was already running when the server was ejected
+    const std::uint32_t doublings = std::min(server.ejections, 16U);
+    server.ejectedUntil = now + std::min(this->options.firstEjection * (1 << doublings), this->options.longestEjection);
+    server.probing = true;
+    ++server.ejections;
+}
+
+// A connection that cannot be opened, or breaks, says enough alone. A refusal says that the server is busy.
+std::uint32_t OutlierDetector::strikesFor(const Attempt& attempt, core::AttemptResult result, core::TimePoint now) const
+{
+    switch (result) {
+    case core::AttemptResult::ConnectFailed:
+    case core::AttemptResult::Broken:
+        return this->options.strikes;
+    case core::AttemptResult::TimedOut:
+        return 1;
+    case core::AttemptResult::Refused:
+        return 0;
+    case core::AttemptResult::Answered:
+    case core::AttemptResult::Cancelled:
+        break;
+    }
+    if (attempt.length != core::WorkLength::Short)
+        return 0;
+    const double usual = this->typicalSeconds(attempt.classKey);
+    const double ratio = usual > 0 ? seconds(std::chrono::duration_cast<core::Duration>(now - attempt.startedAt)) / usual : 0;
+    if (ratio >= 2 * this->options.slowRatio)
+        return this->options.strikes;
+    return ratio >= this->options.slowRatio ? 1 : 0;
+}
+
+}
