--- a/bench/decisions/bench.h
+++ b/bench/decisions/bench.h
@@ -44,5 +44,6 @@
 
 void choice(Report&, std::uint64_t seed);
 void admission(Report&, std::uint64_t seed);
+void lookup(Report&, std::uint64_t seed);
 
 }
--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -17,6 +17,7 @@
 constexpr std::array rows = {
     Row { "choice", bench::choice },
     Row { "admission", bench::admission },
+    Row { "lookup", bench::lookup },
 };
 
 int usage()
