Write the membership, object replication and load sums

Cause: Node knew only itself. Change: SWIM-like membership with refutation apart from the incarnation, replicated objects and gossip items with rumors and anti-entropy over 32 buckets, load sums by two aggregators per failure domain, and the pipe of filters that a message passes.

--- /dev/null
+++ b/src/fleet/buckets.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "core/hash.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace cranberryshed::fleet {
+
+// Hashes over a set whose entries come and go one by one. Equal sets have equal hashes, whatever the order;
+// the hashes per bucket tell where two sets differ without sending the whole set.
+class BucketHashes {
+public:
+    static constexpr std::size_t count = 32;
+
+    static std::uint16_t bucketOf(std::uint64_t id) { return static_cast<std::uint16_t>(id % count); }
+
+    // Adds an entry that is absent, or removes one that is present.
+    void toggle(std::uint64_t id, std::uint64_t entryHash)
+    {
+        this->hashes[bucketOf(id)] ^= entryHash;
+        this->wholeHash ^= entryHash;
+    }
+
+    std::uint64_t whole() const { return this->wholeHash; }
+
+    std::vector<std::uint32_t> compact() const
+    {
+        std::vector<std::uint32_t> result;
+        for (std::uint64_t hash : this->hashes)
+            result.push_back(static_cast<std::uint32_t>(hash));
+        return result;
+    }
+
+    // A random bucket that differs from another member's, or nothing.
+    template <typename Random>
+    std::optional<std::uint16_t> differing(const std::vector<std::uint32_t>& others, Random& random) const
+    {
+        std::vector<std::uint16_t> candidates;
+        for (std::size_t i = 0; i < count && i < others.size(); ++i) {
+            if (others[i] != static_cast<std::uint32_t>(this->hashes[i]))
+                candidates.push_back(static_cast<std::uint16_t>(i));
+        }
+        if (candidates.empty())
+            return std::nullopt;
+        return candidates[std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(random)];
+    }
+
+private:
+    std::array<std::uint64_t, count> hashes {};
+    std::uint64_t wholeHash = 0;
+};
+
+}
--- /dev/null
+++ b/src/fleet/digests.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "fleet/membership.h"
+#include "fleet/messages.h"
+#include "fleet/packing.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace cranberryshed::fleet {
+
+// The loads of all failure domains, as sums that two members of each domain form.
+//
+// Each member reports its loads to both aggregators. The first one publishes the sum; the second one does so
+// only while the first one's is overdue. A member holds one sum per failure domain, the one measured last,
+// so that sums of both are never added, and gets newer ones by exchange with a random member each second.
+class Digests {
+public:
+    Digests(const Membership&, core::TimePoint now);
+
+    void setLoad(const core::DomainDigest&, core::TimePoint now);
+
+    // Filter: learns from and answers the messages about loads.
+    void accept(Context&, core::TimePoint now);
+
+    void due(core::TimePoint now, core::RandomEngine&, Outbox&);
+    core::TimePoint nextTimer() const { return this->nextReport; }
+
+    std::vector<Sync::DigestAge> ages(core::TimePoint now) const;
+    std::vector<core::DomainDigest> digests() const;
+    std::uint64_t changes() const { return this->changeCount; }
+
+    // Time between two sums of a failure domain; it grows with the fleet, so that traffic per member does not.
+    core::Duration interval() const;
+
+private:
+    struct Measured {
+        PackedDigest load;
+        core::TimePoint at {}; // this process's time
+    };
+
+    void learnNames();
+    void report(core::TimePoint now, Outbox&) const;
+    void sum(core::TimePoint now);
+    void spreadSum(core::TimePoint now, core::RandomEngine&, Outbox&) const;
+    bool mayPublish(core::TimePoint now) const;
+    bool keep(PackedDigest, core::TimePoint measuredAt);
+    void onSync(Context&, const Sync&, core::TimePoint now) const;
+    void onPush(Context&, const DigestPush&, core::TimePoint now);
+    void askForNames(Context&, const PackedDigest&, core::TimePoint now);
+    void onNamesWanted(Context&, const NamesWanted&) const;
+    void push(Context&, const std::vector<NameId>&, core::TimePoint now) const;
+    PackedDigest aged(const Measured&, core::TimePoint now) const;
+
+    const Membership& membership;
+    Names names;
+    std::optional<Measured> own;
+    std::map<MemberId, Measured> reports; // as an aggregator
+    std::map<NameId, Measured> sums; // by failure domain
+    std::map<NameId, core::TimePoint> askedNames;
+    core::TimePoint nextReport;
+    core::TimePoint aggregatingSince = core::TimePoint::max();
+    std::uint64_t learntMembers = UINT64_MAX; // Membership::changes() at the last look
+    std::vector<MemberId> aggregators; // of the own failure domain
+    std::uint64_t changeCount = 0;
+};
+
+}
--- /dev/null
+++ b/src/fleet/membership.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "fleet/buckets.h"
+#include "fleet/messages.h"
+#include "fleet/prober.h"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cranberryshed::fleet {
+
+struct MembershipOptions {
+    MemberRecord self;
+    std::vector<std::string> seeds;
+};
+
+// A state that members are known in until another is heard, as SWIM (Das, Gupta, Motivala 2002) with
+// a suspicion time, incarnations split into start and refutation, and anti-entropy over buckets.
+class Membership {
+public:
+    Membership(MembershipOptions, core::TimePoint now);
+
+    void start(core::TimePoint now, core::RandomEngine&, Outbox&);
+
+    // Probes, declares suspects dead, forgets dead members, joins and looks for members that were lost.
+    void due(core::TimePoint now, core::RandomEngine&, Outbox&);
+    core::TimePoint nextTimer() const;
+
+    // Filter: learns from the facts and records in any message, and answers the membership's own messages.
+    void accept(Context&, core::TimePoint now, core::RandomEngine&);
+
+    // Adds facts that others should hear, each a bounded number of times.
+    void piggyback(Message&);
+
+    // Asks peers for the present state, because this process was paused. Nobody is declared dead meanwhile.
+    void refresh(core::TimePoint now, core::RandomEngine&, Outbox&);
+
+    void announce(core::MemberState, core::TimePoint now, core::RandomEngine&, Outbox&);
+
+    const MemberRecord& self() const { return this->members.at(this->selfId).record; }
+    const MemberRecord* find(MemberId) const;
+    std::vector<const MemberRecord*> all() const; // dead and left ones included, ordered by id
+    std::vector<const MemberRecord*> randomPeers(std::size_t count, core::RandomEngine&) const; // live, without this one
+    std::size_t liveCount() const { return this->live.size() + 1; }
+    std::uint64_t hash() const { return this->hashes.whole(); }
+    std::uint64_t changes() const { return this->changeCount; }
+    bool joined() const { return this->hasJoined; }
+    bool refreshing() const { return this->isRefreshing; }
+    bool superseded() const { return this->isSuperseded; }
+
+private:
+    struct Member {
+        MemberRecord record;
+        core::TimePoint deadline = core::TimePoint::max(); // Suspect: declared dead; Dead or Left: forgotten
+    };
+    struct Rumor {
+        int sends = 0;
+        bool withRecord = false; // others may not know the member at all
+    };
+
+    void learn(const MemberFact&, const MemberRecord*, core::TimePoint now);
+    void learnOfSelf(const MemberFact&);
+    void insert(const MemberRecord&, core::TimePoint now);
+    void change(Member&, const MemberFact&, core::TimePoint now);
+    void enter(const MemberFact&);
+    void exit(const MemberFact&);
+    void spread(MemberId, bool withRecord);
+    void suspect(MemberId, core::TimePoint now, Outbox&);
+    void expire(core::TimePoint now);
+    core::Duration suspicionTime() const;
+    int sendLimit() const;
+    Prober::View proberView() const;
+
+    void join(core::TimePoint now, core::RandomEngine&, Outbox&);
+    void revisitLost(core::TimePoint now, core::RandomEngine&, Outbox&);
+    void learnFromHeader(Context&, core::TimePoint now);
+    void askForUnknown(Context&, core::TimePoint now);
+    void answerProbes(Context&, core::TimePoint now);
+    void tellSenderOfItself(Context&) const;
+    void answerJoin(Context&) const;
+    void onJoinReply();
+    void answerRecordsWanted(Context&, const RecordsWanted&) const;
+    void answerSync(Context&, const Sync&) const;
+    void answerBuckets(Context&, const Buckets&, core::RandomEngine&) const;
+    void answerBucket(Context&, const MemberBucket&) const;
+
+    MemberId selfId;
+    std::vector<std::string> seeds;
+    std::map<MemberId, Member> members;
+    std::vector<MemberId> live; // others that are not dead or left
+    std::unordered_map<MemberId, std::size_t> livePosition; // in `live`
+    std::map<MemberId, Rumor> rumors;
+    std::map<MemberId, core::TimePoint> unknown; // members that were asked for, and when
+    BucketHashes hashes;
+    Prober prober;
+    core::TimePoint nextDeadline = core::TimePoint::max();
+    core::TimePoint nextJoin = core::TimePoint::max();
+    int joinAttempts = 0;
+    core::TimePoint nextRevisit;
+    core::TimePoint refreshEnds = core::TimePoint::max();
+    std::uint64_t changeCount = 0;
+    bool hasJoined = false;
+    bool isRefreshing = false;
+    bool isSuperseded = false;
+};
+
+}
--- /dev/null
+++ b/src/fleet/membership_answers.cpp
@@ -0,0 +1,165 @@
+#include "fleet/membership.h"
+
+#include <algorithm>
+
+namespace cranberryshed::fleet {
+
+using namespace std::chrono_literals;
+using core::MemberState;
+
+// The part of the membership that answers messages.
+
+namespace {
+
+    constexpr core::Duration askAgain = 1s;
+    constexpr std::size_t idsPerRequest = 24;
+    constexpr std::size_t recordsPerDatagram = 6; // about 120 bytes each
+    constexpr std::size_t factsPerDatagram = 40; // 24 bytes each
+
+    void sendRecords(Context& context, const std::vector<MemberRecord>& records, const std::vector<MemberFact>& facts)
+    {
+        for (std::size_t first = 0; first < records.size(); first += recordsPerDatagram) {
+            context.reply(Records {});
+            const std::size_t last = std::min(first + recordsPerDatagram, records.size());
+            context.outbox->back().message.records.assign(records.begin() + static_cast<std::ptrdiff_t>(first), records.begin() + static_cast<std::ptrdiff_t>(last));
+        }
+        for (std::size_t first = 0; first < facts.size(); first += factsPerDatagram) {
+            context.reply(Records {});
+            const std::size_t last = std::min(first + factsPerDatagram, facts.size());
+            context.outbox->back().message.facts.assign(facts.begin() + static_cast<std::ptrdiff_t>(first), facts.begin() + static_cast<std::ptrdiff_t>(last));
+        }
+    }
+
+}
+
+void Membership::accept(Context& context, core::TimePoint now, core::RandomEngine& random)
+{
+    this->learnFromHeader(context, now);
+    this->prober.onHeard(context.received.message.sender);
+    this->answerProbes(context, now);
+    if (context.body<Join>())
+        this->answerJoin(context);
+    else if (context.body<JoinReply>())
+        this->onJoinReply();
+    else if (const auto* wanted = context.body<RecordsWanted>())
+        this->answerRecordsWanted(context, *wanted);
+    else if (const auto* sync = context.body<Sync>())
+        this->answerSync(context, *sync);
+    else if (const auto* buckets = context.body<Buckets>())
+        this->answerBuckets(context, *buckets, random);
+    else if (const auto* bucket = context.body<MemberBucket>()) {
+        for (const MemberFact& fact : bucket->facts)
+            this->learn(fact, nullptr, now);
+        this->answerBucket(context, *bucket);
+    }
+    this->askForUnknown(context, now);
+}
+
+void Membership::learnFromHeader(Context& context, core::TimePoint now)
+{
+    const Message& message = context.received.message;
+    for (const MemberRecord& record : message.records)
+        this->learn(record.fact, &record, now);
+    for (const MemberFact& fact : message.facts)
+        this->learn(fact, nullptr, now);
+    if (!this->find(message.sender))
+        this->unknown.try_emplace(message.sender, core::TimePoint::min());
+}
+
+void Membership::answerProbes(Context& context, core::TimePoint now)
+{
+    if (const auto* ping = context.body<Ping>()) {
+        context.reply(Ack { .sequence = ping->sequence, .from = this->selfId });
+        this->tellSenderOfItself(context);
+    } else if (const auto* ack = context.body<Ack>())
+        this->prober.onAck(*ack, *context.outbox);
+    else if (const auto* request = context.body<PingRequest>())
+        this->prober.onPingRequest(context, *request, now);
+}
+
+// A member that is held for suspect or dead hears it from whomever it talks to, so that it can refute.
+void Membership::tellSenderOfItself(Context& context) const
+{
+    const MemberRecord* sender = this->find(context.received.message.sender);
+    if (sender && (sender->fact.state == MemberState::Suspect || !isLive(sender->fact.state)))
+        context.outbox->back().message.facts.push_back(sender->fact);
+}
+
+// Asks the sender for the records of members that it named and that are not known here.
+void Membership::askForUnknown(Context& context, core::TimePoint now)
+{
+    RecordsWanted wanted;
+    for (auto& [id, askedAt] : this->unknown) {
+        if (wanted.ids.size() == idsPerRequest)
+            break;
+        if (askedAt != core::TimePoint::min() && now - askedAt < askAgain)
+            continue;
+        askedAt = now;
+        wanted.ids.push_back(id);
+    }
+    if (!wanted.ids.empty())
+        context.reply(std::move(wanted));
+}
+
+void Membership::answerJoin(Context& context) const
+{
+    context.reply(JoinReply {}, Transport::Stream);
+    this->tellSenderOfItself(context);
+    for (const auto& [id, member] : this->members) {
+        if (isLive(member.record.fact.state) && id != context.received.message.sender)
+            context.outbox->back().message.records.push_back(member.record);
+    }
+}
+
+void Membership::answerRecordsWanted(Context& context, const RecordsWanted& wanted) const
+{
+    std::vector<MemberRecord> records;
+    for (std::size_t i = 0; i < std::min(wanted.ids.size(), idsPerRequest); ++i) {
+        if (const MemberRecord* record = this->find(wanted.ids[i]))
+            records.push_back(*record);
+    }
+    sendRecords(context, records, {});
+}
+
+void Membership::answerSync(Context& context, const Sync& sync) const
+{
+    if (sync.members == this->hash())
+        return;
+    context.reply(Buckets { .members = this->hashes.compact(), .objects = {} });
+    this->tellSenderOfItself(context);
+}
+
+void Membership::answerBuckets(Context& context, const Buckets& buckets, core::RandomEngine& random) const
+{
+    auto bucket = this->hashes.differing(buckets.members, random);
+    if (!bucket)
+        return;
+    MemberBucket content { .bucket = *bucket, .facts = {} };
+    for (const auto& [id, member] : this->members) {
+        if (BucketHashes::bucketOf(static_cast<std::uint64_t>(id)) == *bucket)
+            content.facts.push_back(member.record.fact);
+    }
+    const Transport transport = content.facts.size() <= factsPerDatagram ? Transport::Datagram : Transport::Stream;
+    context.reply(std::move(content), transport);
+}
+
+// Sends what this member knows of the bucket and the sender does not.
+void Membership::answerBucket(Context& context, const MemberBucket& bucket) const
+{
+    std::vector<MemberRecord> records;
+    std::vector<MemberFact> facts;
+    for (const auto& [id, member] : this->members) {
+        if (BucketHashes::bucketOf(static_cast<std::uint64_t>(id)) != bucket.bucket)
+            continue;
+        const MemberFact& own = member.record.fact;
+        auto theirs = std::find_if(bucket.facts.begin(), bucket.facts.end(), [&](const MemberFact& fact) { return fact.id == own.id; });
+        if (theirs == bucket.facts.end() || theirs->incarnation < own.incarnation) {
+            if (isLive(own.state))
+                records.push_back(member.record);
+        } else if (*theirs != own)
+            facts.push_back(own);
+    }
+    sendRecords(context, records, facts);
+}
+
+}
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/object.h"
+#include "core/pipe.h"
 #include "core/sets.h"
 #include "core/types.h"
 
@@ -21,6 +22,12 @@
 // The hash of a class's, service's, region's or failure domain's name.
 enum class NameId : std::uint32_t {};
 
+// Whether a member takes part in the fleet: it gets messages and counts as a member.
+inline bool isLive(core::MemberState state)
+{
+    return state != core::MemberState::Dead && state != core::MemberState::Left;
+}
+
 // What one member says about the state of another (or of itself).
 struct MemberFact {
     MemberId id {};
@@ -35,10 +42,10 @@
 struct MemberRecord {
     MemberFact fact;
     std::string name;
-    std::string peerAddress; // "IP:port" for both datagrams and streams
-    std::string callerAddress; // "IP:port" for callers
-    std::string region;
-    std::string domain;
+    std::string peerAddress {}; // "IP:port" for both datagrams and streams
+    std::string callerAddress {}; // "IP:port" for callers
+    std::string region {};
+    std::string domain {};
 
     bool operator==(const MemberRecord&) const = default;
 };
@@ -49,6 +56,7 @@
 
 struct Ack {
     std::uint32_t sequence = 0;
+    MemberId from {}; // the member that was pinged, also if the acknowledgement is passed on
 };
 
 // Asks the receiver to ping `target` and to pass its acknowledgement on.
@@ -125,6 +133,7 @@
 // Versions whose content is too large for a datagram; the receiver fetches what it lacks.
 struct ObjectAnnounce {
     std::vector<ObjectFact> facts;
+    bool catalogue = false; // everything that the sender holds, as asked for; no news
 };
 
 // Asks for the content of these objects.
@@ -162,8 +171,8 @@
     NameId domain {};
     std::uint32_t ageMs = 0; // when sent
     std::uint16_t members = 0;
-    std::vector<PackedClass> classes;
-    std::vector<PackedCapacity> capacities;
+    std::vector<PackedClass> classes {};
+    std::vector<PackedCapacity> capacities {};
 
     bool operator==(const PackedDigest&) const = default;
 };
@@ -178,6 +187,11 @@
     std::vector<PackedDigest> digests;
 };
 
+// Asks for sums that the receiver holds newer.
+struct DigestsWanted {
+    std::vector<NameId> domains;
+};
+
 // Asks for the text of hashed names.
 struct NamesWanted {
     std::vector<NameId> ids;
@@ -188,15 +202,15 @@
 };
 
 using Body = std::variant<Ping, Ack, PingRequest, Join, JoinReply, RecordsWanted, Records, Sync, Buckets, MemberBucket, ObjectBucket, ObjectPush,
-    ObjectAnnounce, ObjectsWanted, CatalogueWanted, LoadReport, DigestPush, NamesWanted, NamesReply>;
+    ObjectAnnounce, ObjectsWanted, CatalogueWanted, LoadReport, DigestPush, DigestsWanted, NamesWanted, NamesReply>;
 
 struct Message {
     std::uint64_t fleet = 0; // hash of the fleet's name; a message of another fleet is dropped
     MemberId sender {};
-    std::string senderAddress; // only in messages over a stream, whose source port says nothing
-    std::vector<MemberFact> facts; // piggybacked gossip
-    std::vector<MemberRecord> records;
-    Body body;
+    std::string senderAddress {}; // only in messages over a stream, whose source port says nothing
+    std::vector<MemberFact> facts {}; // piggybacked gossip
+    std::vector<MemberRecord> records {};
+    Body body {};
 };
 
 // A message with the address that its transport saw it come from.
@@ -216,4 +230,38 @@
 
 using Outbox = std::vector<Outgoing>;
 
+inline Outgoing outgoing(const std::string& address, Body body, Transport transport = Transport::Datagram)
+{
+    return { .address = address, .transport = transport, .message = { .body = std::move(body) } };
+}
+
+// A received message on its way through the fleet's filters, with the place for answers.
+struct Context {
+    Received received;
+    Outbox* outbox = nullptr;
+
+    // Where an answer to the sender goes.
+    const std::string& replyAddress() const
+    {
+        return this->received.message.senderAddress.empty() ? this->received.address : this->received.message.senderAddress;
+    }
+
+    // The body if it is of this type, else null.
+    template <typename Type>
+    const Type* body() const { return std::get_if<Type>(&this->received.message.body); }
+
+    void reply(Body body, Transport transport = Transport::Datagram)
+    {
+        this->outbox->push_back(outgoing(this->replyAddress(), std::move(body), transport));
+    }
+};
+
+// Why a message ends its way through the filters before the last one.
+enum class Drop : std::uint8_t {
+    OtherFleet, // the sender belongs to another fleet
+    OwnMessage, // sent by this process
+};
+
+using Step = core::Outcome<Context, Drop>;
+
 }
--- /dev/null
+++ b/src/fleet/objects.cpp
@@ -0,0 +1,216 @@
+#include "fleet/objects.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace cranberryshed::fleet {
+
+using namespace std::chrono_literals;
+
+std::size_t wireSize(const core::Object& object)
+{
+    return object.content.size() + object.kind.size() + object.name.size() + objectOverhead;
+}
+
+namespace {
+
+    // A content larger than this is announced and fetched; with its header it fits a datagram of 1,200 bytes.
+    constexpr std::size_t pushLimit = 900;
+    constexpr core::Duration roundTime = 200ms;
+    // Twelve sends per member reach a given member with probability 1 - e^-12 (e^-9 with 20 % loss).
+    constexpr std::size_t peersPerRound = 3;
+    constexpr int roundsPerRumor = 4;
+
+    ObjectId idOf(const core::Object& object)
+    {
+        return ObjectId { core::hashCombine(core::hashBytes(object.kind), core::hashBytes(object.name)) };
+    }
+
+    std::uint64_t hashOf(ObjectId id, const core::ObjectVersion& version)
+    {
+        return core::hashCombine(core::hashCombine(static_cast<std::uint64_t>(id), version.revision), version.version);
+    }
+
+}
+
+Objects::Objects(const Membership& fleetMembership)
+    : membership(fleetMembership)
+{
+}
+
+bool Objects::publish(core::Object object, core::TimePoint now)
+{
+    Entry entry;
+    if (object.deleted) {
+        entry.deletedAt = now;
+        entry.expiresAt = now + deletionMemory;
+        object.content.clear();
+    }
+    const ObjectId id = idOf(object);
+    entry.object = std::make_shared<const core::Object>(std::move(object));
+    return this->store(id, std::move(entry), now);
+}
+
+void Objects::publish(const Item& item, core::TimePoint now)
+{
+    if (item.remaining <= 0ms)
+        return;
+    core::Object object { .kind = std::string(core::nameOf(item.kind)), .name = item.key, .version = {}, .deleted = item.withdrawn, .content = item.content };
+    const ObjectId id = idOf(object);
+    auto known = this->entries.find(id);
+    // The member's id makes versions of different members differ, so that all members keep the same one.
+    object.version = { .revision = known == this->entries.end() ? 1 : known->second.object->version.revision + 1,
+        .version = static_cast<std::uint64_t>(this->membership.self().fact.id) };
+    this->store(id, { .object = std::make_shared<const core::Object>(std::move(object)), .deletedAt = now, .expiresAt = now + item.remaining, .item = true }, now);
+}
+
+// Keeps the entry if it is newer than the known one, and starts to spread it.
+bool Objects::store(ObjectId id, Entry entry, core::TimePoint now)
+{
+    auto known = this->entries.find(id);
+    if (known != this->entries.end() && known->second.object->version >= entry.object->version)
+        return false;
+    if (known != this->entries.end())
+        this->hashes.toggle(static_cast<std::uint64_t>(id), hashOf(id, known->second.object->version));
+    this->hashes.toggle(static_cast<std::uint64_t>(id), hashOf(id, entry.object->version));
+    this->nextExpiry = std::min(this->nextExpiry, entry.expiresAt);
+    this->entries.insert_or_assign(id, std::move(entry));
+    auto asking = this->asked.find(id);
+    if (asking == this->asked.end() || asking->second.news) {
+        this->rumors[id] = 0;
+        this->nextRound = std::min(this->nextRound, now);
+    }
+    if (asking != this->asked.end())
+        this->asked.erase(asking);
+    ++this->changeCount;
+    return true;
+}
+
+void Objects::erase(ObjectId id)
+{
+    auto known = this->entries.find(id);
+    this->hashes.toggle(static_cast<std::uint64_t>(id), hashOf(id, known->second.object->version));
+    this->entries.erase(known);
+    this->rumors.erase(id);
+    ++this->changeCount;
+}
+
+// Forgets expired items and old deletions.
+void Objects::expire(core::TimePoint now)
+{
+    std::vector<ObjectId> expired;
+    this->nextExpiry = core::TimePoint::max();
+    for (const auto& [id, entry] : this->entries) {
+        if (entry.expiresAt <= now)
+            expired.push_back(id);
+        else
+            this->nextExpiry = std::min(this->nextExpiry, entry.expiresAt);
+    }
+    for (ObjectId id : expired)
+        this->erase(id);
+}
+
+core::TimePoint Objects::nextTimer() const
+{
+    return std::min(this->nextRound, this->nextExpiry);
+}
+
+void Objects::due(core::TimePoint now, core::RandomEngine& random, Outbox& outbox)
+{
+    if (now >= this->nextExpiry)
+        this->expire(now);
+    if (now >= this->nextRound)
+        this->spread(now, random, outbox);
+}
+
+// The rumors of one round: those sent least often, as many as fit one datagram.
+std::vector<ObjectId> Objects::nextRumors()
+{
+    std::vector<std::pair<int, ObjectId>> order;
+    for (const auto& [id, rounds] : this->rumors)
+        order.emplace_back(rounds, id);
+    std::sort(order.begin(), order.end());
+    std::vector<ObjectId> result;
+    std::size_t bytes = 0;
+    for (const auto& [rounds, id] : order) {
+        const std::size_t size = wireSize(*this->entries.at(id).object);
+        const std::size_t part = size <= pushLimit ? size : sizeof(ObjectFact);
+        if (!result.empty() && bytes + part > pushLimit)
+            break;
+        bytes += part;
+        result.push_back(id);
+        if (rounds + 1 == roundsPerRumor)
+            this->rumors.erase(id);
+        else
+            this->rumors[id] = rounds + 1;
+    }
+    return result;
+}
+
+void Objects::spread(core::TimePoint now, core::RandomEngine& random, Outbox& outbox)
+{
+    ObjectPush push;
+    ObjectAnnounce announce;
+    for (ObjectId id : this->nextRumors()) {
+        const Entry& entry = this->entries.at(id);
+        if (wireSize(*entry.object) <= pushLimit)
+            push.entries.push_back(this->wire(entry, now));
+        else
+            announce.facts.push_back(this->factOf(id, entry));
+    }
+    for (const MemberRecord* peer : this->membership.randomPeers(peersPerRound, random)) {
+        if (!push.entries.empty())
+            outbox.push_back(outgoing(peer->peerAddress, push));
+        if (!announce.facts.empty())
+            outbox.push_back(outgoing(peer->peerAddress, announce));
+    }
+    this->nextRound = this->rumors.empty() ? core::TimePoint::max() : now + roundTime;
+}
+
+std::vector<std::shared_ptr<const core::Object>> Objects::objects() const
+{
+    std::vector<std::shared_ptr<const core::Object>> result;
+    for (const auto& [id, entry] : this->entries) {
+        if (!entry.item)
+            result.push_back(entry.object);
+    }
+    std::sort(result.begin(), result.end(), [](const auto& left, const auto& right) {
+        return std::tie(left->kind, left->name) < std::tie(right->kind, right->name);
+    });
+    return result;
+}
+
+std::vector<Item> Objects::items(core::TimePoint now) const
+{
+    std::vector<Item> result;
+    for (const auto& [id, entry] : this->entries) {
+        auto kind = core::parseName<ItemKind>(entry.object->kind);
+        if (!entry.item || entry.object->deleted || entry.expiresAt <= now || !kind)
+            continue;
+        result.push_back({ .kind = *kind,
+            .key = entry.object->name,
+            .sequence = entry.object->version.revision,
+            .withdrawn = false,
+            .remaining = entry.expiresAt - now,
+            .content = entry.object->content });
+    }
+    return result;
+}
+
+ObjectFact Objects::factOf(ObjectId id, const Entry& entry) const
+{
+    return { .id = id, .version = entry.object->version, .bytes = static_cast<std::uint32_t>(entry.object->content.size()) };
+}
+
+ObjectEntry Objects::wire(const Entry& entry, core::TimePoint now) const
+{
+    ObjectEntry result { .object = entry.object };
+    if (entry.item)
+        result.remainingMs = static_cast<std::uint32_t>(std::max<std::int64_t>(1, (entry.expiresAt - now) / 1ms));
+    else if (entry.object->deleted)
+        result.ageSeconds = static_cast<std::uint32_t>((now - entry.deletedAt) / 1s);
+    return result;
+}
+
+}
--- /dev/null
+++ b/src/fleet/objects.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "fleet/buckets.h"
+#include "fleet/membership.h"
+#include "fleet/messages.h"
+#include "fleet/view.h"
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace cranberryshed::fleet {
+
+// Longer than any outage of the store or pause of a member after which an old copy may come back.
+constexpr core::Duration deletionMemory = std::chrono::hours(7 * 24);
+
+// The bytes that an object takes in a message, its strings left out.
+constexpr std::size_t objectOverhead = 80;
+
+// The bytes that an object takes in a message.
+std::size_t wireSize(const core::Object&);
+
+// The objects that all members hold: operators' declarations and gossip items.
+//
+// A higher ObjectVersion replaces a lower one and never the other way round, whatever the order, number and
+// source of messages. A new version is sent to a few random members at once and in a few rounds after it,
+// with its content if that is small; what is missed is found by comparing hashes with a random member.
+class Objects {
+public:
+    explicit Objects(const Membership&);
+
+    // Takes an object from outside the fleet. Returns whether it is newer than the known one.
+    bool publish(core::Object, core::TimePoint now);
+    void publish(const Item&, core::TimePoint now);
+
+    // Filter: learns from and answers the messages about objects.
+    void accept(Context&, core::TimePoint now, core::RandomEngine&);
+
+    void due(core::TimePoint now, core::RandomEngine&, Outbox&);
+    core::TimePoint nextTimer() const;
+
+    // Asks a member for everything, to start from nothing.
+    static void bootstrap(const std::string& address, Outbox&);
+
+    std::uint64_t hash() const { return this->hashes.whole(); }
+    std::uint64_t changes() const { return this->changeCount; }
+    std::vector<std::shared_ptr<const core::Object>> objects() const;
+    std::vector<Item> items(core::TimePoint now) const;
+
+private:
+    struct Entry {
+        std::shared_ptr<const core::Object> object;
+        core::TimePoint deletedAt {}; // of a deletion
+        core::TimePoint expiresAt = core::TimePoint::max(); // an item, or a deletion that is forgotten then
+        bool item = false;
+    };
+
+    struct Asked {
+        core::TimePoint until {}; // when it may be asked for again
+        bool news = true; // it is spread when it arrives
+    };
+
+    bool store(ObjectId, Entry, core::TimePoint now);
+    void erase(ObjectId);
+    void expire(core::TimePoint now);
+    void spread(core::TimePoint now, core::RandomEngine&, Outbox&);
+    std::vector<ObjectId> nextRumors();
+
+    ObjectFact factOf(ObjectId, const Entry&) const;
+    ObjectEntry wire(const Entry&, core::TimePoint now) const;
+    void onPush(const ObjectPush&, core::TimePoint now);
+    void onFacts(Context&, const std::vector<ObjectFact>&, bool news, core::TimePoint now);
+    void onWanted(Context&, const ObjectsWanted&, core::TimePoint now) const;
+    void onSync(Context&, const Sync&) const;
+    void onBuckets(Context&, const Buckets&, core::RandomEngine&) const;
+    void onBucket(Context&, const ObjectBucket&, core::TimePoint now);
+    void onCatalogueWanted(Context&) const;
+    void push(Context&, const std::vector<ObjectId>&, core::TimePoint now) const;
+
+    const Membership& membership;
+    std::map<ObjectId, Entry> entries;
+    std::map<ObjectId, int> rumors; // rounds in which the object was sent
+    std::unordered_map<ObjectId, Asked> asked; // content under way
+    BucketHashes hashes;
+    core::TimePoint nextRound = core::TimePoint::max();
+    core::TimePoint nextExpiry = core::TimePoint::max();
+    std::uint64_t changeCount = 0;
+};
+
+}
--- /dev/null
+++ b/src/fleet/objects_answers.cpp
@@ -0,0 +1,164 @@
+#include "fleet/objects.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cranberryshed::fleet {
+
+using namespace std::chrono_literals;
+
+// The part of the object replication that answers messages.
+
+namespace {
+
+    // Content that was asked for is not asked for again within this time and the time of its transfer.
+    constexpr core::Duration askAgain = 1s;
+    constexpr core::Duration timePerKilobyte = 100us; // at 10 MB/s
+    constexpr std::size_t datagramContent = 900;
+    constexpr std::size_t frameContent = 512U * 1024U; // half of the largest frame; one object may exceed it
+    constexpr std::size_t idsPerRequest = 64; // 8 bytes each, so that a request fits a datagram
+    constexpr std::size_t factsPerDatagram = 30; // 32 bytes each
+
+}
+
+void Objects::accept(Context& context, core::TimePoint now, core::RandomEngine& random)
+{
+    if (const auto* push = context.body<ObjectPush>())
+        this->onPush(*push, now);
+    else if (const auto* announce = context.body<ObjectAnnounce>())
+        this->onFacts(context, announce->facts, !announce->catalogue, now);
+    else if (const auto* wanted = context.body<ObjectsWanted>())
+        this->onWanted(context, *wanted, now);
+    else if (const auto* sync = context.body<Sync>())
+        this->onSync(context, *sync);
+    else if (const auto* buckets = context.body<Buckets>())
+        this->onBuckets(context, *buckets, random);
+    else if (const auto* bucket = context.body<ObjectBucket>())
+        this->onBucket(context, *bucket, now);
+    else if (context.body<CatalogueWanted>())
+        this->onCatalogueWanted(context);
+}
+
+void Objects::bootstrap(const std::string& address, Outbox& outbox)
+{
+    outbox.push_back(outgoing(address, CatalogueWanted {}, Transport::Stream));
+}
+
+void Objects::onPush(const ObjectPush& push, core::TimePoint now)
+{
+    for (const ObjectEntry& received : push.entries) {
+        Entry entry { .object = received.object };
+        if (received.remainingMs > 0) {
+            entry.item = true;
+            entry.expiresAt = now + received.remainingMs * 1ms;
+        } else if (received.object->deleted) {
+            entry.deletedAt = now - received.ageSeconds * 1s;
+            entry.expiresAt = entry.deletedAt + deletionMemory;
+        }
+        if (entry.expiresAt > now)
+            this->store(ObjectId { core::hashCombine(core::hashBytes(received.object->kind), core::hashBytes(received.object->name)) }, std::move(entry), now);
+    }
+}
+
+// Asks the sender for what it holds newer, unless the content is already under way.
+void Objects::onFacts(Context& context, const std::vector<ObjectFact>& facts, bool news, core::TimePoint now)
+{
+    ObjectsWanted wanted;
+    std::size_t bytes = 0;
+    // What comes back over a stream is asked for over a stream, which repairs losses.
+    auto ask = [&] { context.reply(std::exchange(wanted, {}), bytes <= datagramContent ? Transport::Datagram : Transport::Stream); };
+    std::erase_if(this->asked, [&](const auto& asking) { return asking.second.until <= now; });
+    for (const ObjectFact& fact : facts) {
+        auto known = this->entries.find(fact.id);
+        if (known != this->entries.end() && known->second.object->version >= fact.version)
+            continue;
+        const core::Duration transfer = (bytes + fact.bytes) * timePerKilobyte / 1000;
+        if (!this->asked.try_emplace(fact.id, Asked { .until = now + askAgain + transfer, .news = news }).second)
+            continue;
+        bytes += fact.bytes + objectOverhead;
+        wanted.ids.push_back(fact.id);
+        if (wanted.ids.size() == idsPerRequest)
+            ask();
+    }
+    if (!wanted.ids.empty())
+        ask();
+}
+
+void Objects::onWanted(Context& context, const ObjectsWanted& wanted, core::TimePoint now) const
+{
+    this->push(context, { wanted.ids.begin(), wanted.ids.begin() + static_cast<std::ptrdiff_t>(std::min(idsPerRequest, wanted.ids.size())) }, now);
+}
+
+// Sends the objects in as few messages as their size allows.
+void Objects::push(Context& context, const std::vector<ObjectId>& ids, core::TimePoint now) const
+{
+    ObjectPush next;
+    std::size_t bytes = 0;
+    auto flush = [&] {
+        if (!next.entries.empty())
+            context.reply(std::exchange(next, {}), bytes <= datagramContent ? Transport::Datagram : Transport::Stream);
+        bytes = 0;
+    };
+    for (ObjectId id : ids) {
+        auto known = this->entries.find(id);
+        if (known == this->entries.end())
+            continue;
+        const std::size_t size = wireSize(*known->second.object);
+        if (bytes + size > frameContent)
+            flush();
+        next.entries.push_back(this->wire(known->second, now));
+        bytes += size;
+    }
+    flush();
+}
+
+void Objects::onSync(Context& context, const Sync& sync) const
+{
+    if (sync.objects != this->hash())
+        context.reply(Buckets { .members = {}, .objects = this->hashes.compact() });
+}
+
+void Objects::onBuckets(Context& context, const Buckets& buckets, core::RandomEngine& random) const
+{
+    auto bucket = this->hashes.differing(buckets.objects, random);
+    if (!bucket)
+        return;
+    ObjectBucket content { .bucket = *bucket, .facts = {} };
+    for (const auto& [id, entry] : this->entries) {
+        if (BucketHashes::bucketOf(static_cast<std::uint64_t>(id)) == *bucket)
+            content.facts.push_back(this->factOf(id, entry));
+    }
+    const Transport transport = content.facts.size() <= factsPerDatagram ? Transport::Datagram : Transport::Stream;
+    context.reply(std::move(content), transport);
+}
+
+// Fetches what the sender holds newer, and sends what it holds older or not at all.
+void Objects::onBucket(Context& context, const ObjectBucket& bucket, core::TimePoint now)
+{
+    this->onFacts(context, bucket.facts, true, now);
+    std::map<ObjectId, core::ObjectVersion> theirs;
+    for (const ObjectFact& fact : bucket.facts)
+        theirs.emplace(fact.id, fact.version);
+    std::vector<ObjectId> newer;
+    for (const auto& [id, entry] : this->entries) {
+        if (BucketHashes::bucketOf(static_cast<std::uint64_t>(id)) != bucket.bucket)
+            continue;
+        auto their = theirs.find(id);
+        if (their == theirs.end() || their->second < entry.object->version)
+            newer.push_back(id);
+    }
+    this->push(context, newer, now);
+}
+
+void Objects::onCatalogueWanted(Context& context) const
+{
+    ObjectAnnounce announce { .facts = {}, .catalogue = true };
+    for (const auto& [id, entry] : this->entries)
+        announce.facts.push_back(this->factOf(id, entry));
+    if (!announce.facts.empty())
+        context.reply(std::move(announce), Transport::Stream);
+}
+
+}
--- a/src/fleet/pipeline.cpp
+++ b/src/fleet/pipeline.cpp
@@ -1,68 +1,210 @@
 #include "fleet/pipeline.h"
 
 #include "core/hash.h"
+#include "fleet/rendezvous.h"
 
 #include <algorithm>
 
 namespace cranberryshed::fleet {
 
-Node::Node(NodeOptions nodeOptions, core::TimePoint)
-    : options(std::move(nodeOptions))
+using namespace std::chrono_literals;
+
+namespace {
+
+    constexpr core::Duration pauseLimit = 2s;
+    constexpr core::Duration exchangePeriod = 1s;
+    // Two members are asked for all objects after a join, so that one of them may be lost.
+    constexpr int cataloguesPerJoin = 2;
+
+    MemberRecord recordOf(const NodeOptions& options)
+    {
+        return { .fact = { .id = MemberId { core::hashBytes(options.name) }, .incarnation = options.incarnation },
+            .name = options.name,
+            .peerAddress = options.peerAddress,
+            .callerAddress = options.callerAddress,
+            .region = options.region,
+            .domain = options.domain };
+    }
+
+    // Whether a message leaves room for gossip in its datagram.
+    bool carriesGossip(const Body& body)
+    {
+        return std::holds_alternative<Ping>(body) || std::holds_alternative<Ack>(body) || std::holds_alternative<PingRequest>(body)
+            || std::holds_alternative<Sync>(body) || std::holds_alternative<Join>(body) || std::holds_alternative<JoinReply>(body);
+    }
+
+}
+
+Step Admit::operator()(Context context, core::TimePoint) const
 {
+    if (context.received.message.fleet != this->fleet)
+        return Step::end(Drop::OtherFleet);
+    if (context.received.message.sender == this->self)
+        return Step::end(Drop::OwnMessage);
+    return Step::pass(std::move(context));
 }
 
-void Node::start(core::TimePoint, Outbox&) { }
+Step LearnMembers::operator()(Context context, core::TimePoint now) const
+{
+    this->membership.accept(context, now, this->random);
+    return Step::pass(std::move(context));
+}
 
-void Node::handle(Received, core::TimePoint, Outbox&) { }
+Step LearnObjects::operator()(Context context, core::TimePoint now) const
+{
+    this->objects.accept(context, now, this->random);
+    return Step::pass(std::move(context));
+}
 
-void Node::due(core::TimePoint, Outbox&) { }
+Step LearnLoads::operator()(Context context, core::TimePoint now) const
+{
+    this->digests.accept(context, now);
+    return Step::pass(std::move(context));
+}
+
+Step Seal::operator()(Context context, core::TimePoint) const
+{
+    this->seal(*context.outbox);
+    return Step::pass(std::move(context));
+}
+
+void Seal::seal(Outbox& outbox) const
+{
+    const MemberRecord& self = this->membership.self();
+    for (Outgoing& out : outbox) {
+        if (out.message.sender == self.fact.id)
+            continue;
+        out.message.fleet = this->fleet;
+        out.message.sender = self.fact.id;
+        if (out.transport == Transport::Stream)
+            out.message.senderAddress = self.peerAddress;
+        if (carriesGossip(out.message.body))
+            this->membership.piggyback(out.message);
+    }
+}
+
+Node::Node(const NodeOptions& options, core::TimePoint now)
+    : random(options.randomSeed)
+    , membership({ .self = recordOf(options), .seeds = options.seeds }, now)
+    , objects(this->membership)
+    , digests(this->membership, now)
+    , pipe(Admit { .fleet = core::hashBytes(options.fleet), .self = this->membership.self().fact.id },
+          LearnMembers { .membership = this->membership, .random = this->random },
+          LearnObjects { .objects = this->objects, .random = this->random },
+          LearnLoads { .digests = this->digests },
+          Seal { .fleet = core::hashBytes(options.fleet), .membership = this->membership })
+    , seal { .fleet = core::hashBytes(options.fleet), .membership = this->membership }
+    , nextExchange(now)
+{
+}
+
+void Node::start(core::TimePoint now, Outbox& outbox)
+{
+    this->started = true;
+    this->cataloguesWanted = cataloguesPerJoin;
+    // Spreads the exchanges of members that start together over the period.
+    this->nextExchange = now + exchangePeriod * std::uniform_int_distribution<int>(1, 100)(this->random) / 100;
+    this->membership.start(now, this->random, outbox);
+    this->seal.seal(outbox);
+}
+
+// A timer that is late means that this process did not run. Its view is old, so it asks before it judges.
+void Node::noticePause(core::TimePoint now, Outbox& outbox)
+{
+    if (!this->started || now <= this->nextTimer() + pauseLimit)
+        return;
+    this->cataloguesWanted = cataloguesPerJoin;
+    this->membership.refresh(now, this->random, outbox);
+    this->nextExchange = now;
+}
+
+void Node::handle(Received received, core::TimePoint now, Outbox& outbox)
+{
+    if (this->started && now > this->nextTimer() + pauseLimit)
+        this->due(now, outbox);
+    const bool joinReply = std::holds_alternative<JoinReply>(received.message.body);
+    auto result = this->pipe(Context { .received = std::move(received), .outbox = &outbox }, now);
+    if (joinReply && !result.ended() && this->cataloguesWanted > 0) {
+        --this->cataloguesWanted;
+        Objects::bootstrap(result.output().replyAddress(), outbox);
+    }
+    this->seal.seal(outbox);
+}
+
+void Node::due(core::TimePoint now, Outbox& outbox)
+{
+    this->noticePause(now, outbox);
+    this->membership.due(now, this->random, outbox);
+    this->objects.due(now, this->random, outbox);
+    this->digests.due(now, this->random, outbox);
+    if (now >= this->nextExchange)
+        this->exchange(now, outbox);
+    this->seal.seal(outbox);
+}
+
+// Compares what this member holds with a random other one.
+void Node::exchange(core::TimePoint now, Outbox& outbox)
+{
+    this->nextExchange = now + exchangePeriod;
+    for (const MemberRecord* peer : this->membership.randomPeers(1, this->random))
+        outbox.push_back(outgoing(peer->peerAddress, Sync { .members = this->membership.hash(), .objects = this->objects.hash(), .digests = this->digests.ages(now) }));
+}
 
 core::TimePoint Node::nextTimer() const
 {
-    return core::TimePoint::max();
+    return std::min({ this->membership.nextTimer(), this->objects.nextTimer(), this->digests.nextTimer(), this->nextExchange });
 }
 
-bool Node::publish(core::Object object, core::TimePoint)
+bool Node::publish(core::Object object, core::TimePoint now)
 {
-    auto known = std::find_if(this->objects.begin(), this->objects.end(), [&](const auto& candidate) {
-        return candidate->kind == object.kind && candidate->name == object.name;
-    });
-    if (known != this->objects.end() && (*known)->version >= object.version)
-        return false;
-    if (known != this->objects.end())
-        this->objects.erase(known);
-    this->objects.push_back(std::make_shared<const core::Object>(std::move(object)));
-    ++this->changeCount.objects;
-    return true;
+    return this->objects.publish(std::move(object), now);
 }
 
-void Node::publish(const Item&, core::TimePoint) { }
+void Node::publish(const Item& item, core::TimePoint now)
+{
+    this->objects.publish(item, now);
+}
 
-void Node::setLoad(core::DomainDigest, core::TimePoint) { }
+void Node::setLoad(const core::DomainDigest& load, core::TimePoint now)
+{
+    this->digests.setLoad(load, now);
+}
 
-void Node::leave(core::TimePoint, Outbox&) { }
+void Node::leave(core::TimePoint now, Outbox& outbox)
+{
+    this->membership.announce(core::MemberState::Leaving, now, this->random, outbox);
+    this->seal.seal(outbox);
+}
 
-void Node::depart(core::TimePoint, Outbox&) { }
+void Node::depart(core::TimePoint now, Outbox& outbox)
+{
+    this->membership.announce(core::MemberState::Left, now, this->random, outbox);
+    this->seal.seal(outbox);
+}
 
-Snapshot Node::snapshot(core::TimePoint) const
+Snapshot Node::snapshot(core::TimePoint now) const
 {
     Snapshot result;
-    result.self = MemberId { core::hashBytes(this->options.name) };
-    result.joined = true;
-    result.watcher = true;
-    result.objects = this->objects;
-    result.members.push_back({ .fact = { .id = result.self, .incarnation = this->options.incarnation },
-        .name = this->options.name,
-        .peerAddress = this->options.peerAddress,
-        .callerAddress = this->options.callerAddress,
-        .region = this->options.region,
-        .domain = this->options.domain });
+    const MemberRecord& self = this->membership.self();
+    const std::vector<const MemberRecord*> members = this->membership.all();
+    const std::vector<MemberId> watching = watchers(members, self.domain);
+    result.self = self.fact.id;
+    result.joined = this->membership.joined();
+    result.refreshing = this->membership.refreshing();
+    result.superseded = this->membership.superseded();
+    result.watcher = std::find(watching.begin(), watching.end(), self.fact.id) != watching.end();
+    for (const MemberRecord* member : members)
+        result.members.push_back(*member);
+    std::sort(result.members.begin(), result.members.end(), [](const auto& left, const auto& right) { return left.name < right.name; });
+    result.objects = this->objects.objects();
+    result.items = this->objects.items(now);
+    result.digests = this->digests.digests();
     return result;
 }
 
 Changes Node::changes() const
 {
-    return this->changeCount;
+    return { .members = this->membership.changes(), .objects = this->objects.changes(), .digests = this->digests.changes() };
 }
 
 }
--- a/src/fleet/pipeline.h
+++ b/src/fleet/pipeline.h
@@ -1,6 +1,10 @@
 #pragma once
 
+#include "core/pipe.h"
+#include "fleet/digests.h"
+#include "fleet/membership.h"
 #include "fleet/messages.h"
+#include "fleet/objects.h"
 #include "fleet/view.h"
 
 #include <string>
@@ -20,12 +24,57 @@
     std::uint64_t randomSeed = 0;
 };
 
+// Filter: drops messages of other fleets and of this process itself.
+struct Admit {
+    std::uint64_t fleet = 0;
+    MemberId self {};
+
+    Step operator()(Context, core::TimePoint now) const;
+};
+
+// Filter: membership.
+struct LearnMembers {
+    Membership& membership;
+    core::RandomEngine& random;
+
+    Step operator()(Context, core::TimePoint now) const;
+};
+
+// Filter: objects and gossip items.
+struct LearnObjects {
+    Objects& objects;
+    core::RandomEngine& random;
+
+    Step operator()(Context, core::TimePoint now) const;
+};
+
+// Filter: loads.
+struct LearnLoads {
+    Digests& digests;
+
+    Step operator()(Context, core::TimePoint now) const;
+};
+
+// Filter: completes the messages in the outbox with their header and with gossip.
+struct Seal {
+    std::uint64_t fleet = 0;
+    Membership& membership;
+
+    Step operator()(Context, core::TimePoint now) const;
+    void seal(Outbox&) const;
+};
+
+// The way of a received message through the fleet.
+using FleetPipe = core::Pipe<Admit, LearnMembers, LearnObjects, LearnLoads, Seal>;
+
 // One member's part in the fleet: a pure state machine that the control thread drives.
 //
 // After each call the caller sends what is in the outbox and sets its timer to nextTimer().
 class Node {
 public:
-    Node(NodeOptions, core::TimePoint now);
+    Node(const NodeOptions&, core::TimePoint now);
+    Node(const Node&) = delete;
+    Node& operator=(const Node&) = delete;
 
     // Joins through the seeds. Call once, when the peer address can receive.
     void start(core::TimePoint now, Outbox&);
@@ -45,7 +94,7 @@
     void publish(const Item&, core::TimePoint now);
 
     // The loads of this member. `domain`, `measuredAt` and `members` are filled in here.
-    void setLoad(core::DomainDigest, core::TimePoint now);
+    void setLoad(const core::DomainDigest&, core::TimePoint now);
 
     // Announces that this member stops soon (Leaving), and that it stops now (Left).
     void leave(core::TimePoint now, Outbox&);
@@ -55,9 +104,18 @@
     Changes changes() const;
 
 private:
-    NodeOptions options;
-    std::vector<std::shared_ptr<const core::Object>> objects;
-    Changes changeCount;
+    void noticePause(core::TimePoint now, Outbox&);
+    void exchange(core::TimePoint now, Outbox&);
+
+    core::RandomEngine random;
+    Membership membership;
+    Objects objects;
+    Digests digests;
+    FleetPipe pipe;
+    Seal seal;
+    core::TimePoint nextExchange;
+    int cataloguesWanted = 0; // from the next members that answer a join
+    bool started = false;
 };
 
 }
--- /dev/null
+++ b/src/fleet/rendezvous.cpp
@@ -0,0 +1,39 @@
+#include "fleet/rendezvous.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace cranberryshed::fleet {
+
+namespace {
+
+    bool mayHaveDuty(core::MemberState state)
+    {
+        return state == core::MemberState::Alive || state == core::MemberState::Suspect;
+    }
+
+}
+
+std::vector<MemberId> pick(const std::vector<const MemberRecord*>& members, std::string_view domain, Duty duty)
+{
+    const std::uint64_t salt = core::hashBytes(domain, static_cast<std::uint64_t>(duty) + 1);
+    std::vector<std::pair<std::uint64_t, MemberId>> ranked;
+    for (const MemberRecord* member : members) {
+        if (member->domain == domain && mayHaveDuty(member->fact.state))
+            ranked.emplace_back(core::hashCombine(static_cast<std::uint64_t>(member->fact.id), salt), member->fact.id);
+    }
+    const auto count = std::min(membersPerDuty, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(), std::greater<> {});
+    std::vector<MemberId> picked;
+    for (std::size_t i = 0; i < count; ++i)
+        picked.push_back(ranked[i].second);
+    return picked;
+}
+
+std::vector<MemberId> watchers(const std::vector<const MemberRecord*>& members, std::string_view domain)
+{
+    return pick(members, domain, Duty::WatchStore);
+}
+
+}
--- a/src/fleet/view.h
+++ b/src/fleet/view.h
@@ -19,7 +19,7 @@
     std::uint64_t sequence = 0; // 0 when published; a later statement about the same key has a higher one
     bool withdrawn = false;
     core::Duration remaining {}; // until it expires
-    std::string content; // JSON text, not read by the fleet
+    std::string content {}; // JSON text, not read by the fleet
 };
 
 // One reading of everything that the members share. It does not change after it was taken.
