--- /dev/null
+++ b/src/app/arguments.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/names.h"
+
+#include <boost/program_options.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cranberryshed::app {
+
+using Arguments = std::vector<std::string>;
+
+enum class OutputFormat : std::uint8_t { Text, Json };
+
+// Parses a subcommand's arguments. Prints the help or the version and returns nothing if one was asked for.
+// Throws core::Error (BadUsage) for wrong arguments.
+std::optional<boost::program_options::variables_map> parseArguments(const std::string& command, const std::string& summary,
+    boost::program_options::options_description options, const Arguments& arguments, const boost::program_options::positional_options_description& positional = {});
+
+// Adds `--output json|text`.
+void addOutputOption(boost::program_options::options_description&);
+OutputFormat outputFormat(const boost::program_options::variables_map&);
+
+}
+
+template <>
+struct cranberryshed::core::Names<cranberryshed::app::OutputFormat> {
+    static constexpr std::array<std::string_view, 2> values = { "text", "json" };
+};
--- /dev/null
+++ b/src/app/commands.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "app/arguments.h"
+
+namespace cranberryshed::app {
+
+// The subcommands. Each returns the exit code and throws core::Error for bad input.
+
+int serveCommand(const Arguments&);
+int devCommand(const Arguments&);
+int loadCommand(const Arguments&);
+int dumpCommand(const Arguments&);
+
+}
--- a/src/app/entry_vm.cpp
+++ b/src/app/entry_vm.cpp
@@ -20,9 +20,8 @@
     return core::Incarnation { static_cast<std::uint64_t>(wire::wallNow().time_since_epoch().count()) };
 }
 
-ControlLoop::Options controlOptions(const EntryVmOptions& options, const std::string& callerAddress)
+ControlLoop::Options controlOptions(const EntryVmOptions& options, const std::string& callerAddress, core::Incarnation incarnation)
 {
-    const core::Incarnation incarnation = newIncarnation();
     ControlLoop::Options result;
     result.node.fleet = options.fleet;
     result.node.name = options.name;
@@ -46,14 +45,19 @@
     , work(asio::make_work_guard(*this->context))
 {
     this->callerEndpoint = wire::parseEndpoint(this->options.callerAddress);
+    const core::Incarnation incarnation = newIncarnation();
+    const request::Shared shared = request::makeShared(this->options.name, incarnation, std::random_device {}());
+    const auto observe = [this](request::Observations observations) {
+        asio::post(*this->context, [this, observations = std::move(observations)]() mutable { this->control->observe(std::move(observations)); });
+    };
     for (std::uint32_t i = 0; i < this->options.trafficThreads; ++i) {
-        this->workers.push_back(std::make_unique<wire::Worker>(wire::Worker::Options { .index = i, .seed = this->options.seed + i, .limits = this->options.limits, .engine = {}, .pool = {} }));
+        this->workers.push_back(std::make_unique<wire::Worker>(wire::Worker::Options { .index = i, .seed = this->options.seed + i, .limits = this->options.limits, .shared = shared, .observe = observe }));
         this->callerEndpoint = this->workers.back()->listen(this->callerEndpoint);
     }
     this->admin = std::make_unique<wire::AdminServer>(*this->context, wire::parseEndpoint(this->options.adminAddress));
     this->admin->addPage("/v1/dump", [this] { return this->dumpPage(); });
     this->admin->addPage("/v1/metrics", [this] { return this->metricsPage(); });
-    this->control = std::make_unique<ControlLoop>(*this->context, controlOptions(this->options, this->callerAddress()),
+    this->control = std::make_unique<ControlLoop>(*this->context, controlOptions(this->options, this->callerAddress(), incarnation),
         [this](const core::SteeringTablePointer& table) { this->takeTable(table); });
 }
 
--- /dev/null
+++ b/src/app/load_command.cpp
@@ -0,0 +1,81 @@
+#include "app/commands.h"
+#include "app/load.h"
+#include "app/work_mix.h"
+#include "core/errors.h"
+
+#include <iostream>
+
+namespace cranberryshed::app {
+
+namespace po = boost::program_options;
+
+namespace {
+
+// Picks the named class and applies the sizes given on the command line.
+std::vector<WorkKind> chosenMix(const po::variables_map& values)
+{
+    std::vector<WorkKind> mix = workMix(values["declarations"].as<std::string>());
+    if (values.contains("class")) {
+        const auto& names = values["class"].as<std::vector<std::string>>();
+        std::erase_if(mix, [&](const WorkKind& kind) { return std::ranges::find(names, kind.className) == names.end(); });
+    }
+    for (WorkKind& kind : mix) {
+        if (values.contains("work-us"))
+            kind.serviceMicroseconds = values["work-us"].as<std::uint64_t>();
+        if (values.contains("answer-bytes"))
+            kind.answerBytes = values["answer-bytes"].as<std::uint64_t>();
+    }
+    if (mix.empty())
+        throw core::Error(core::ErrorKind::BadUsage, "no declared class is chosen");
+    return mix;
+}
+
+LoadOptions loadOptions(const po::variables_map& values)
+{
+    LoadOptions options;
+    if (values.contains("entry"))
+        options.caller.lookupAddresses = values["entry"].as<std::vector<std::string>>();
+    if (values.contains("direct"))
+        options.caller.direct = values["direct"].as<std::string>();
+    if (options.caller.lookupAddresses.empty() && options.caller.direct.empty())
+        throw core::Error(core::ErrorKind::BadUsage, "one of --entry and --direct is needed");
+    options.mix = chosenMix(values);
+    options.connections = values["connections"].as<std::uint32_t>();
+    options.rate = values["rate"].as<double>();
+    options.requests = values["requests"].as<std::uint64_t>();
+    options.duration = std::chrono::seconds(values["seconds"].as<std::uint32_t>());
+    options.seed = values["seed"].as<std::uint64_t>();
+    options.lookupsOnly = values.contains("lookups");
+    return options;
+}
+
+}
+
+int loadCommand(const Arguments& arguments)
+{
+    po::options_description options("options");
+    options.add_options()("entry", po::value<std::vector<std::string>>(), "IP:port of an entry VM to ask; may be repeated")(
+        "direct", po::value<std::string>(), "IP:port to send to without a look-up, for comparison")(
+        "declarations", po::value<std::string>()->default_value("examples/foundry"), "folder or file with the classes")(
+        "class", po::value<std::vector<std::string>>(), "only this class; may be repeated")(
+        "connections", po::value<std::uint32_t>()->default_value(8), "requests at the same time")(
+        "rate", po::value<double>()->default_value(0), "requests per second at random times; 0: as fast as they are answered")(
+        "requests", po::value<std::uint64_t>()->default_value(1000), "end after so many")(
+        "seconds", po::value<std::uint32_t>()->default_value(30), "end after so many seconds")(
+        "work-us", po::value<std::uint64_t>(), "service time at the backend stand-in in microseconds")(
+        "answer-bytes", po::value<std::uint64_t>(), "size of an answer")("lookups", "only look-ups")(
+        "seed", po::value<std::uint64_t>()->default_value(1), "of arrivals, mix and work ids");
+    addOutputOption(options);
+    const std::optional<po::variables_map> values = parseArguments("load", "Sends a bounded load over loopback and prints percentiles.", options, arguments);
+    if (!values)
+        return 0;
+    const OutputFormat format = outputFormat(*values);
+    const LoadResult result = runLoad(loadOptions(*values));
+    if (format == OutputFormat::Json)
+        std::cout << boost::json::serialize(loadJson(result)) << '\n';
+    else
+        std::cout << loadTable(result);
+    return 0;
+}
+
+}
--- a/src/lookup/issue_key.h
+++ b/src/lookup/issue_key.h
@@ -27,4 +27,7 @@
     }
 };
 
+// The look-up path of an entry VM, in its order.
+using KeyedLookupPipe = core::Pipe<FindClass, LocateCaller, RankMembers, IssueKey>;
+
 }
--- a/src/wire/session.cpp
+++ b/src/wire/session.cpp
@@ -1,5 +1,7 @@
 #include "wire/session.h"
 
+#include "request/fingerprint.h"
+#include "request/match.h"
 #include "wire/answer.h"
 #include "wire/clock.h"
 #include "wire/feed.h"
@@ -117,6 +119,8 @@
             co_return false;
         }
         request::RequestArrived arrival = this->describe(*exchange);
+        if (const std::optional<core::ClassIndex> found = request::matchClass(*this->worker.table(), arrival.host, arrival.method, arrival.target))
+            exchange->className = this->worker.table()->at(*found).name;
         prepareForBackend(exchange->header, this->stream.socket());
         exchange->send = [this, exchange = std::weak_ptr<Exchange>(exchange)](const request::SendAttempt& command) {
             if (const std::shared_ptr<Exchange> locked = exchange.lock())
@@ -167,11 +171,22 @@
             .caller = this->caller,
             .key = std::string(key),
             .deadline = millisecondsField(header, field::deadline),
-            .fingerprint = {},
+            .fingerprint = this->fingerprint(exchange),
             .replayable = exchange.bodyComplete,
         };
     }
 
+    core::Fingerprint fingerprint(const Exchange& exchange) const
+    {
+        const RequestHeader& header = exchange.header;
+        std::optional<std::uint64_t> length;
+        if (exchange.bodyComplete)
+            length = exchange.bodyStart.size();
+        else if (this->parser->content_length())
+            length = *this->parser->content_length();
+        return request::fingerprintOf({ .host = toStd(header[http::field::host]), .method = toStd(header.method_string()), .target = toStd(header.target()), .bodyLength = length, .bodyPrefix = exchange.bodyStart });
+    }
+
     void startAttempt(const std::shared_ptr<Exchange>& exchange, const request::SendAttempt& command)
     {
         const std::shared_ptr<Attempt> attempt = std::make_shared<Attempt>();
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -10,6 +10,8 @@
 namespace {
 
     constexpr int listenBacklog = 1024;
+constexpr core::Duration observationDelay = std::chrono::milliseconds(100);
+constexpr std::size_t largestBatch = 1000; // observations
 
     // Request ids are unique in the process: the thread's index is in the upper bits.
     constexpr unsigned threadIndexShift = 48;
@@ -23,8 +25,9 @@
     , work(asio::make_work_guard(*this->context))
     , currentTable(std::make_shared<core::SteeringTable>())
     , engine(this->options.engine, {}, this->options.shared, this->options.seed)
-    , lookups(lookup::FindClass {}, lookup::LocateCaller {}, lookup::RankMembers {})
+    , lookups(lookup::FindClass {}, lookup::LocateCaller {}, lookup::RankMembers {}, lookup::IssueKey { *this->options.shared.keys })
     , pool(this->options.pool)
+    , observationTimer(this->executor())
 {
     this->engine.setTable(this->currentTable);
 }
@@ -37,6 +40,7 @@
         this->thread.join();
     // Destroying the context ends the coroutines of open connections, which still use the other members.
     this->exchanges.clear();
+    this->observationTimer.cancel();
     this->pool.clear();
     this->acceptor.reset();
     this->context.reset();
@@ -90,10 +94,30 @@
 void Worker::handle(const request::Event& event)
 {
     request::Commands commands;
-    request::Observations observations;
-    this->engine.handle(event, steadyNow(), commands, observations);
+    this->engine.handle(event, steadyNow(), commands, this->observations);
     for (const request::Command& command : commands)
         std::visit([this](const auto& typed) { this->execute(typed); }, command);
+    this->passObservations();
+}
+
+// Control gets observations in batches, because a message to another thread for each request costs more than
+// the decision. A crash is passed on at once.
+void Worker::passObservations()
+{
+    if (this->observations.empty() || !this->options.observe)
+        return;
+    const bool urgent = std::holds_alternative<request::CrashObserved>(this->observations.back());
+    if (urgent || this->observations.size() >= largestBatch) {
+        this->options.observe(std::exchange(this->observations, {}));
+        return;
+    }
+    if (this->observationTimer.expiry() > steadyNow())
+        return;
+    this->observationTimer.expires_after(observationDelay);
+    this->observationTimer.async_wait([this](error_code error) {
+        if (!error && !this->observations.empty())
+            this->options.observe(std::exchange(this->observations, {}));
+    });
 }
 
 void Worker::end(core::RequestId request)
--- a/src/wire/worker.h
+++ b/src/wire/worker.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lookup/pipeline.h"
+#include "lookup/issue_key.h"
 #include "request/engine.h"
 #include "wire/asio.h"
 #include "wire/exchange.h"
@@ -8,6 +8,7 @@
 #include "wire/pool.h"
 #include "wire/traffic_metrics.h"
 
+#include <functional>
 #include <thread>
 #include <unordered_map>
 
@@ -25,6 +26,7 @@
         Limits limits;
         TrafficEngine::Options engine;
         request::Shared shared; // the same for all workers of a process
+        std::function<void(request::Observations)> observe; // called on the worker's thread, in batches
         Pool::Options pool;
     };
 
@@ -58,7 +60,7 @@
     const core::SteeringTablePointer& table() const { return this->currentTable; }
     Pool& connections() { return this->pool; }
     TrafficMetrics& metrics() { return this->trafficMetrics; }
-    lookup::LookupPipe& lookupPipe() { return this->lookups; }
+    lookup::KeyedLookupPipe& lookupPipe() { return this->lookups; }
     bool stopping() const { return this->closing; }
 
     core::RequestId nextRequestId();
@@ -83,18 +85,21 @@
     void execute(const request::Reject&);
     void execute(const request::WaitUntil&);
     std::shared_ptr<Attempt> findAttempt(core::RequestId, core::AttemptId);
+    void passObservations();
 
     Options options;
     std::unique_ptr<asio::io_context> context = std::make_unique<asio::io_context>(1);
     asio::executor_work_guard<Executor> work;
     core::SteeringTablePointer currentTable;
     TrafficEngine engine;
-    lookup::LookupPipe lookups;
+    lookup::KeyedLookupPipe lookups;
     Pool pool;
     TrafficMetrics trafficMetrics;
     std::unordered_map<core::RequestId, std::shared_ptr<Exchange>> exchanges;
     std::shared_ptr<Acceptor> acceptor;
     std::unique_ptr<Timer> drainTimer; // set while `drain` waits for the requests in flight
+    request::Observations observations; // not yet passed to control
+    Timer observationTimer;
     std::uint64_t lastRequest = 0;
     std::size_t connectionCount = 0;
     bool closing = false;
