Teach learning choosers and end overdue attempts through the same pipe

Change: filter TeachChooser; a cancelled attempt whose end is not reported goes through the attempt end pipe; service times come from ServiceTimes; Standing of a suspect is renamed to Suspicion.

--- a/src/request/attempt_end.cpp
+++ b/src/request/attempt_end.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-    constexpr double holdWeight = 0.05; // of a new sample in the mean time that an attempt holds a slot
-
     bool surelyNotRun(core::AttemptResult result)
     {
         return result == core::AttemptResult::Refused || result == core::AttemptResult::ConnectFailed;
@@ -57,8 +55,7 @@
     this->state.servers.record(server.key, ended.event.result, ended.event.retryAfter, now);
     this->state.observe(ServerObserved { .server = server.name, .result = ended.event.result, .elapsed = elapsed, .length = memory.length });
     if (ended.event.result == core::AttemptResult::Answered) {
-        const auto held = static_cast<double>((now - attempt.sentAt).count());
-        memory.holdMicroseconds += (held - memory.holdMicroseconds) * (memory.holdMicroseconds == 0 ? 1 : holdWeight);
+        this->state.serviceTimes.add(memory.key, now - attempt.sentAt);
         memory.headTime.add(elapsed);
         memory.retryBudget.onSuccess();
         memory.hedgeBudget.onSuccess();
--- a/src/request/check_quarantine.h
+++ b/src/request/check_quarantine.h
@@ -10,7 +10,7 @@
 
     Step operator()(Context context, core::TimePoint now) const
     {
-        if (this->state.shared.crashes->standing(context.fingerprint, *context.table, now) == Standing::Quarantined)
+        if (this->state.shared.crashes->suspicion(context.fingerprint, *context.table, now) == Suspicion::Quarantined)
             return Step::end({ .request = context.arrival.request, .error = core::ErrorKind::Quarantined, .key = {}, .retryAfter = {} });
         return Step::pass(std::move(context));
     }
--- a/src/request/choose_server.h
+++ b/src/request/choose_server.h
@@ -27,7 +27,9 @@
         Exclusions excluded;
         if (!request.tried.empty() || !this->state.servers.allWell())
             excluded = this->state.servers.exclusions(*context.table, context.classIndex, request.tried, now);
-        if (excluded.anyLeft) {
+        // While others wait, a new request takes its turn among them; the capacity pipe follows at once.
+        const bool takesTurn = launch.reason == LaunchReason::First && this->state.queue.size() > 0;
+        if (excluded.anyLeft && !takesTurn) {
             const std::optional<core::ServerIndex> server = this->chooser.choose(*context.table, context.classIndex, excluded.servers, this->state.random, now);
             if (server)
                 return Next<Chosen>::pass({ .launch = launch, .server = *server });
@@ -53,8 +55,7 @@
     {
         const ClassMemory& memory = *request.memory;
         const RequestArrived& arrival = request.context.arrival;
-        const core::Duration hold(static_cast<core::Duration::rep>(memory.holdMicroseconds));
-        const WaitingRequest waiting { .request = arrival.request, .pool = memory.pool, .classKey = memory.key, .caller = arrival.caller, .arrival = now, .deadline = request.context.deadline, .serviceTime = hold };
+        const WaitingRequest waiting { .request = arrival.request, .pool = memory.pool, .classKey = memory.key, .caller = arrival.caller, .arrival = now, .deadline = request.context.deadline, .serviceTime = this->state.serviceTimes.mean(memory.key) };
         const Offer offer = this->state.queue.offer(waiting, this->state.laneInFlight(memory), now);
         if (offer.refusal)
             return this->state.reject(request, *offer.refusal, now);
--- a/src/request/crash.cpp
+++ b/src/request/crash.cpp
@@ -9,24 +9,24 @@
 {
 }
 
-Standing CrashBook::onCrash(core::Fingerprint fingerprint, bool isolatedRun, core::TimePoint now)
+Suspicion CrashBook::onCrash(core::Fingerprint fingerprint, bool isolatedRun, core::TimePoint now)
 {
     const std::lock_guard lock(this->mutex);
-    const bool held = this->ownStanding(fingerprint, now) == Standing::Quarantined;
+    const bool held = this->ownSuspicion(fingerprint, now) == Suspicion::Quarantined;
     if (!this->entries.contains(fingerprint))
         this->makeRoom();
     Entry& entry = this->entries[fingerprint];
     if (isolatedRun)
-        entry = { .standing = Standing::Quarantined, .until = now + this->options.quarantine };
+        entry = { .level = Suspicion::Quarantined, .until = now + this->options.quarantineTime };
     else if (!held)
-        entry = { .standing = Standing::Suspect, .until = now + this->options.suspicion };
+        entry = { .level = Suspicion::Suspect, .until = now + this->options.suspectTime };
     this->empty = false;
-    return entry.standing;
+    return entry.level;
 }
 
 bool CrashBook::onSuccess(core::Fingerprint fingerprint, const core::SteeringTable& table, core::TimePoint now)
 {
-    if (this->standing(fingerprint, table, now) != Standing::Suspect)
+    if (this->suspicion(fingerprint, table, now) != Suspicion::Suspect)
         return false;
     const std::lock_guard lock(this->mutex);
     this->entries.erase(fingerprint);
@@ -34,29 +34,29 @@
     return true;
 }
 
-Standing CrashBook::standing(core::Fingerprint fingerprint, const core::SteeringTable& table, core::TimePoint now) const
+Suspicion CrashBook::suspicion(core::Fingerprint fingerprint, const core::SteeringTable& table, core::TimePoint now) const
 {
     const auto value = static_cast<std::uint64_t>(fingerprint);
     if (!table.quarantined.empty() && table.quarantined.contains(value))
-        return Standing::Quarantined;
+        return Suspicion::Quarantined;
     const bool known = !table.suspects.empty() && table.suspects.contains(value);
     if (this->empty)
-        return known ? Standing::Suspect : Standing::Clear;
+        return known ? Suspicion::Suspect : Suspicion::Clear;
     const std::lock_guard lock(this->mutex);
-    return std::max(this->ownStanding(fingerprint, now), known ? Standing::Suspect : Standing::Clear);
+    return std::max(this->ownSuspicion(fingerprint, now), known ? Suspicion::Suspect : Suspicion::Clear);
 }
 
 // A quarantine that control did not confirm in time leaves a suspect.
-Standing CrashBook::ownStanding(core::Fingerprint fingerprint, core::TimePoint now) const
+Suspicion CrashBook::ownSuspicion(core::Fingerprint fingerprint, core::TimePoint now) const
 {
     const auto found = this->entries.find(fingerprint);
     if (found == this->entries.end())
-        return Standing::Clear;
+        return Suspicion::Clear;
     const Entry& entry = found->second;
     if (entry.until > now)
-        return entry.standing;
-    const bool unconfirmed = entry.standing == Standing::Quarantined && entry.until + this->options.suspicion > now;
-    return unconfirmed ? Standing::Suspect : Standing::Clear;
+        return entry.level;
+    const bool unconfirmed = entry.level == Suspicion::Quarantined && entry.until + this->options.suspectTime > now;
+    return unconfirmed ? Suspicion::Suspect : Suspicion::Clear;
 }
 
 bool CrashBook::beginIsolation(core::Fingerprint fingerprint)
@@ -76,7 +76,7 @@
     if (this->empty)
         return;
     const std::lock_guard lock(this->mutex);
-    std::erase_if(this->entries, [&](const auto& item) { return this->ownStanding(item.first, now) == Standing::Clear; });
+    std::erase_if(this->entries, [&](const auto& item) { return this->ownSuspicion(item.first, now) == Suspicion::Clear; });
     this->empty = this->entries.empty();
 }
 
--- a/src/request/crash.h
+++ b/src/request/crash.h
@@ -10,20 +10,20 @@
 namespace cranberryshed::request {
 
 struct CrashOptions {
-    core::Duration suspicion = std::chrono::minutes(10); // without a new crash or success
+    core::Duration suspectTime = std::chrono::minutes(10); // without a new crash or success
     // Bridges the time until control has put the fingerprint into the steering table. Control sees the crashes
     // of all entry VMs and decides for the fleet; it may find that this one was a coincidence.
-    core::Duration quarantine = std::chrono::seconds(30);
+    core::Duration quarantineTime = std::chrono::seconds(30);
     std::size_t limit = 10'000; // suspects remembered, about 64 bytes each; beyond it the oldest are forgotten
 };
 
-enum class Standing : std::uint8_t { Clear,
+enum class Suspicion : std::uint8_t { Clear,
     Suspect,
     Quarantined };
 }
 
 template <>
-struct cranberryshed::core::Names<cranberryshed::request::Standing> {
+struct cranberryshed::core::Names<cranberryshed::request::Suspicion> {
     static constexpr std::array<std::string_view, 3> values = { "clear", "suspect", "quarantined" };
 };
 
@@ -41,13 +41,13 @@
 public:
     explicit CrashBook(CrashOptions);
 
-    // A server that ran this request broke its connection without an answer. Returns the new standing.
-    Standing onCrash(core::Fingerprint, bool isolated, core::TimePoint now);
+    // A server that ran this request broke its connection without an answer. Returns what is now thought of it.
+    Suspicion onCrash(core::Fingerprint, bool isolated, core::TimePoint now);
 
     // The request was answered. Returns whether it was a suspect, here or in the table.
     bool onSuccess(core::Fingerprint, const core::SteeringTable&, core::TimePoint now);
 
-    Standing standing(core::Fingerprint, const core::SteeringTable&, core::TimePoint now) const;
+    Suspicion suspicion(core::Fingerprint, const core::SteeringTable&, core::TimePoint now) const;
 
     // A suspect runs once at a time, or its copies would crash several servers. Returns false if it runs already.
     bool beginIsolation(core::Fingerprint);
@@ -57,11 +57,11 @@
 
 private:
     struct Entry {
-        Standing standing = Standing::Suspect;
+        Suspicion level = Suspicion::Suspect;
         core::TimePoint until {};
     };
 
-    Standing ownStanding(core::Fingerprint, core::TimePoint now) const;
+    Suspicion ownSuspicion(core::Fingerprint, core::TimePoint now) const;
     void makeRoom();
 
     CrashOptions options;
--- a/src/request/divert_suspect.h
+++ b/src/request/divert_suspect.h
@@ -11,14 +11,14 @@
     Next<Launch> operator()(Launch launch, core::TimePoint now) const
     {
         Active& request = *launch.request;
-        switch (this->state.shared.crashes->standing(request.context.fingerprint, *this->state.table, now)) {
-        case Standing::Clear:
+        switch (this->state.shared.crashes->suspicion(request.context.fingerprint, *this->state.table, now)) {
+        case Suspicion::Clear:
             return Next<Launch>::pass(launch);
-        case Standing::Quarantined:
+        case Suspicion::Quarantined:
             if (launch.reason != LaunchReason::Hedge)
                 this->state.reject(request, core::ErrorKind::Quarantined, now);
             break;
-        case Standing::Suspect:
+        case Suspicion::Suspect:
             if (launch.reason != LaunchReason::Hedge)
                 this->waitForIsolation(request);
             break;
--- a/src/request/isolate.cpp
+++ b/src/request/isolate.cpp
@@ -22,8 +22,8 @@
 {
     if (Rebind { this->state }({ .request = &request }, now).ended())
         return false;
-    const Standing standing = this->state.shared.crashes->standing(request.context.fingerprint, *this->state.table, now);
-    if (standing == Standing::Quarantined) {
+    const Suspicion suspicion = this->state.shared.crashes->suspicion(request.context.fingerprint, *this->state.table, now);
+    if (suspicion == Suspicion::Quarantined) {
         this->state.reject(request, core::ErrorKind::Quarantined, now);
         return false;
     }
--- a/src/request/pipeline.h
+++ b/src/request/pipeline.h
@@ -16,6 +16,7 @@
 #include "request/rebind.h"
 #include "request/send.h"
 #include "request/sweep.h"
+#include "request/teach_chooser.h"
 #include "request/wake.h"
 
 namespace cranberryshed::request {
@@ -33,7 +34,8 @@
 using AnswerPipe = core::Pipe<FindAnswered, Relay>;
 
 // AttemptEnded. The capacity pipe follows, because a slot may be free.
-using AttemptEndPipe = core::Pipe<TakeAttempt, ReleaseSlot, RecordResult, JudgeCrash, Conclude>;
+template <Chooser ChooserType>
+using AttemptEndPipe = core::Pipe<TakeAttempt, ReleaseSlot, RecordResult, TeachChooser<ChooserType>, JudgeCrash, Conclude>;
 
 // TimerDue: from RequestId to Launch, for a retry or a second attempt.
 using TimerPipe = core::Pipe<FindRequest, EnforceDeadline, TakeDue>;
@@ -43,6 +45,6 @@
 
 // CapacityChanged, and the end of every other event.
 template <Chooser ChooserType>
-using CapacityPipe = core::Pipe<Sweep, WakeCleared<LaunchPipe<ChooserType>>, RunSuspects, Wake<LaunchPipe<ChooserType>>>;
+using CapacityPipe = core::Pipe<EndOverdue<AttemptEndPipe<ChooserType>>, Sweep, WakeCleared<LaunchPipe<ChooserType>>, RunSuspects, Wake<LaunchPipe<ChooserType>>>;
 
 }
--- a/src/request/state.h
+++ b/src/request/state.h
@@ -7,6 +7,7 @@
 #include "request/queue.h"
 #include "request/retry.h"
 #include "request/servers.h"
+#include "request/times.h"
 
 #include <deque>
 #include <map>
@@ -45,7 +46,6 @@
     TokenBudget retryBudget;
     TokenBudget hedgeBudget;
     QuantileTracker headTime; // from sending to the head of the answer
-    double holdMicroseconds = 0; // mean time that an attempt holds a slot
     std::uint32_t inFlight = 0; // attempts
     DemandObserved demand;
 };
@@ -148,6 +148,7 @@
     std::deque<core::RequestId> suspects; // in phase Isolating, in their order
     std::size_t isolations = 0; // servers that this thread has reserved
     ServerMemory servers;
+    ServiceTimes serviceTimes; // that attempts hold a slot, by class
     std::uint64_t lastAttempt = 0;
     core::TimePoint sweptAt {};
 
--- a/src/request/sweep.cpp
+++ b/src/request/sweep.cpp
@@ -11,7 +11,6 @@
         return Next<Done>::pass({});
     this->state.sweptAt = now;
     this->enforceDeadlines(now);
-    this->releaseCancelled(now);
     this->reportDemand();
     this->state.servers.forgetExpired(now);
     this->state.shared.crashes->forgetExpired(now);
@@ -38,17 +37,6 @@
         EnforceDeadline { this->state }(this->state.find(id), now);
 }
 
-void Sweep::releaseCancelled(core::TimePoint now) const
-{
-    std::erase_if(this->state.attempts, [&](const auto& item) {
-        const Attempt& attempt = item.second;
-        const bool overdue = attempt.cancelledAt && now - *attempt.cancelledAt > this->state.options.cancelGrace;
-        if (overdue)
-            this->state.release(attempt);
-        return overdue;
-    });
-}
-
 void Sweep::reportDemand() const
 {
     for (auto& [name, memory] : this->state.classes) {
--- a/src/request/wake.h
+++ b/src/request/wake.h
@@ -15,7 +15,7 @@
         const std::vector<core::RequestId> waiting(this->state.suspects.begin(), this->state.suspects.end());
         for (core::RequestId id : waiting) {
             Active* request = this->state.find(id);
-            if (!request || this->state.shared.crashes->standing(request->context.fingerprint, *this->state.table, now) != Standing::Clear)
+            if (!request || this->state.shared.crashes->suspicion(request->context.fingerprint, *this->state.table, now) != Suspicion::Clear)
                 continue;
             this->state.endReservation(*request);
             std::erase(this->state.suspects, id);
