--- a/src/app/caller.cpp
+++ b/src/app/caller.cpp
@@ -139,8 +139,11 @@
 // A keyed class asks anew for each piece of work, because a key is used once.
 Task<std::optional<Caller::Entries>> Caller::entriesFor(const WorkKind& kind, std::uint32_t attempt)
 {
-    if (!this->options.direct.empty())
-        co_return Entries { .addresses = { this->options.direct }, .requestKey = {}, .expiry = {} };
+    if (!this->options.direct.empty()) {
+        Entries only;
+        only.addresses.push_back(this->options.direct);
+        co_return only;
+    }
     const auto found = this->known.find(kind.className);
     if (!kind.keyed && attempt == 0 && found != this->known.end() && found->second.expiry > wire::steadyNow())
         co_return found->second;
--- a/src/wire/session.cpp
+++ b/src/wire/session.cpp
@@ -200,7 +200,9 @@
     // Runs an attempt up to its answer's head. The rest is relayed by `relay` if the engine chooses it.
     Task<void> runAttempt(std::shared_ptr<Session> self, std::shared_ptr<Exchange> exchange, std::shared_ptr<Attempt> attempt)
     {
-        const AttemptHead head = co_await sendAndReadHead(this->worker, *exchange, *attempt, BodySource { this->stream, this->buffer, this->parser });
+        // A named variable: g++ 12 destroys an aggregate that is a temporary of a co_await expression twice.
+        const BodySource source { this->stream, this->buffer, this->parser };
+        const AttemptHead head = co_await sendAndReadHead(this->worker, *exchange, *attempt, source);
         request::AttemptEnded ended { .request = exchange->id, .attempt = attempt->id, .result = head.result, .status = head.status, .retryAfter = head.retryAfter };
         if (head.result == core::AttemptResult::Answered) {
             self->worker.handle(request::AnswerStarted { .request = exchange->id, .attempt = attempt->id, .status = head.status });
