Test three entry VMs' engines on a fake row under seeded faults

Cause: the promises of the engine (nothing runs twice, no wrong not-run, every request ends once, slots come back) need a test that causes the failures.

--- /dev/null
+++ b/tests/rig/callers.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include "request/fingerprint.h"
+#include "rig/world.h"
+
+namespace cranberryshed::rig {
+
+// One thing that a caller wants done, over all its repeats.
+struct Job {
+    bool write = false; // non-idempotent
+    bool poison = false;
+    std::uint64_t content = 0;
+    std::size_t vm = 0;
+    std::string key;
+    unsigned sends = 0;
+    unsigned outstanding = 0;
+    bool unclear = false; // may have run, so it never gets a fresh key
+    bool answered = false;
+};
+
+struct CallerOptions {
+    std::size_t jobs = 300;
+    core::Duration spread = std::chrono::seconds(3);
+    double writes = 0.4;
+    double poison = 0;
+    double duplicates = 0.1; // sends a second copy with the same key at nearly the same time
+    double gone = 0; // closes its connection early
+    unsigned sendLimit = 6;
+    core::Duration meanWork = std::chrono::milliseconds(8);
+};
+
+// Callers that repeat as eagerly as the answers allow: a request that was not run is sent again, also with a
+// fresh key; one that may have run is repeated with its old key, through any entry VM.
+template <typename EngineType>
+class Callers {
+public:
+    Callers(World<EngineType>& theWorld, CallerOptions callerOptions)
+        : world(theWorld)
+        , options(callerOptions)
+        , jobs(callerOptions.jobs)
+    {
+        for (std::size_t i = 0; i < this->jobs.size(); ++i) {
+            Job& job = this->jobs[i];
+            job.write = this->world.chance(this->options.writes);
+            job.poison = this->world.chance(this->options.poison);
+            job.content = i;
+            this->world.scheduler.after(this->world.upTo(this->options.spread), [this, i] { this->begin(i); });
+        }
+    }
+
+    std::vector<Job> jobs;
+
+    // Non-idempotent jobs that ran more than once.
+    std::size_t ranTwice() const
+    {
+        std::vector<unsigned> runs(this->jobs.size());
+        for (const auto& [id, arrival] : this->world.arrivals)
+            runs[arrival.job] += arrival.runs;
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < runs.size(); ++i)
+            count += this->jobs[i].write && runs[i] > 1 ? 1 : 0;
+        return count;
+    }
+
+    // Requests that ran although their caller was told that they did not.
+    std::size_t wronglyNotRun() const
+    {
+        std::size_t count = 0;
+        for (const auto& [id, arrival] : this->world.arrivals)
+            count += arrival.toldNotRun && arrival.runs > 0 ? 1 : 0;
+        return count;
+    }
+
+    // Requests that did not end exactly once.
+    std::size_t wrongEnds() const
+    {
+        std::size_t count = 0;
+        for (const auto& [id, arrival] : this->world.arrivals)
+            count += arrival.ends != 1 ? 1 : 0;
+        return count;
+    }
+
+    std::size_t answered() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(this->jobs, &Job::answered));
+    }
+
+private:
+    void begin(std::size_t index)
+    {
+        Job& job = this->jobs[index];
+        this->lookUp(job, true);
+        this->send(index, job.vm);
+        if (this->world.chance(this->options.duplicates))
+            this->world.scheduler.after(this->world.upTo(std::chrono::milliseconds(20)), [this, index] { this->send(index, this->jobs[index].vm); });
+    }
+
+    // Takes an entry VM that is up and, most of the time, a key from its look-up answer.
+    void lookUp(Job& job, bool withKey)
+    {
+        const std::size_t first = this->world.random() % this->world.vms.size();
+        for (std::size_t i = 0; i < this->world.vms.size(); ++i) {
+            job.vm = (first + i) % this->world.vms.size();
+            if (this->world.vms[job.vm].engine)
+                break;
+        }
+        job.key.clear();
+        if (job.write && withKey && this->world.chance(0.8))
+            job.key = this->world.vms[job.vm].shared.keys->issue(this->world.scheduler.now());
+    }
+
+    void send(std::size_t index, std::size_t vm)
+    {
+        Job& job = this->jobs[index];
+        if (job.sends >= this->options.sendLimit || job.answered || !this->world.vms[vm].engine)
+            return;
+        ++job.sends;
+        ++job.outstanding;
+        request::RequestArrived arrival;
+        arrival.method = job.write ? "POST" : "GET";
+        arrival.target = job.write ? "/write" : "/read";
+        arrival.key = job.key;
+        arrival.fingerprint = request::fingerprintOf({ .host = "h", .method = arrival.method, .target = arrival.target, .bodyLength = 8, .bodyPrefix = std::to_string(job.content) });
+        std::exponential_distribution<double> time(1.0 / static_cast<double>(this->options.meanWork.count()));
+        const core::Duration work = core::Duration(500 + static_cast<core::Duration::rep>(time(this->world.random)));
+        const core::RequestId id = this->world.send(vm, index, std::move(arrival), job.poison, work, [this, index](core::RequestId, const Outcome& outcome) { this->onOutcome(index, outcome); });
+        if (this->world.chance(this->options.gone))
+            this->world.scheduler.after(this->world.upTo(std::chrono::milliseconds(20)), [this, vm, id, start = this->world.vms[vm].start] { this->world.deliver(vm, start, request::CallerGone { .request = id }); });
+    }
+
+    void onOutcome(std::size_t index, const Outcome& outcome)
+    {
+        Job& job = this->jobs[index];
+        --job.outstanding;
+        const bool answered = !outcome.error && !outcome.lost;
+        const bool notRun = outcome.error && core::answerFor(*outcome.error).run == core::RunState::NotRun;
+        job.answered = job.answered || answered;
+        job.unclear = job.unclear || (!answered && !notRun);
+        if (answered || (notRun && !core::answerFor(*outcome.error).retry))
+            return;
+        const core::Duration pause = this->world.upTo(std::chrono::milliseconds(40));
+        if (!job.write || job.unclear)
+            return this->sendLater(index, this->world.random() % this->world.vms.size(), pause);
+        if (job.outstanding > 0)
+            return;
+        if (outcome.error == core::ErrorKind::KeyRequired)
+            job.key = outcome.key;
+        else if (!this->world.vms[job.vm].engine || this->world.chance(0.3))
+            this->lookUp(job, true); // every send so far was told "not run", so a fresh key is allowed
+        this->sendLater(index, job.vm, pause);
+    }
+
+    void sendLater(std::size_t index, std::size_t vm, core::Duration pause)
+    {
+        this->world.scheduler.after(pause, [this, index, vm] { this->send(index, vm); });
+    }
+
+    World<EngineType>& world;
+    CallerOptions options;
+};
+
+}
--- /dev/null
+++ b/tests/rig/world.h
@@ -0,0 +1,326 @@
+#pragma once
+
+#include "request/engine.h"
+#include "rig/row.h"
+#include "rig/tables.h"
+
+#include <map>
+#include <set>
+
+namespace cranberryshed::rig {
+
+// Faults on the way between a server, the front end and the engine, each with its probability.
+struct Faults {
+    double doubled = 0; // an event comes twice, the second time late
+    double crossed = 0; // an event comes also with another request's id
+    double lost = 0; // a server's answer never arrives, or a timer is never delivered
+    double reordered = 0; // an attempt's end overtakes the head of its answer
+    core::Duration jitter {}; // added to each delivery, from 0
+};
+
+struct WorldOptions {
+    TableOptions table {};
+    std::size_t vms = 3;
+    FakeServer::Options server {};
+    core::Duration oneWay = std::chrono::microseconds(250); // between entry VM and server
+    core::Duration gossip = std::chrono::milliseconds(500); // until a crash is known at the other entry VMs
+    core::Duration detection = std::chrono::milliseconds(150); // until control ejects a server that refuses connections; 0: never
+    Faults faults {};
+};
+
+// What a front end saw of one request.
+struct Arrival {
+    std::size_t vm = 0;
+    unsigned start = 0; // of the entry VM
+    std::size_t job = 0;
+    unsigned runs = 0; // attempts that a server began to run
+    unsigned ends = 0; // Reject, or AttemptEnded after RelayAnswer
+    bool toldNotRun = false;
+    std::optional<core::AttemptId> relayed;
+    core::TimePoint at {};
+};
+
+// What a caller gets.
+struct Outcome {
+    std::optional<core::ErrorKind> error; // none: answered, or `lost`
+    bool lost = false; // the entry VM died
+    std::string key; // with KeyRequired
+    core::TimePoint at {};
+};
+
+struct Counts {
+    std::uint64_t foreignAnswers = 0; // a caller got the answer to another request
+    std::uint64_t doubleEnds = 0;
+    std::uint64_t attempts = 0;
+};
+
+// Entry VMs' engines, their front ends and a row of backend servers, in simulated time and without I/O.
+template <typename EngineType>
+class World {
+public:
+    using MakeEngine = std::function<std::unique_ptr<EngineType>(std::size_t vm, const request::Shared&)>;
+    using Report = std::function<void(core::RequestId, const Outcome&)>;
+
+    struct Vm {
+        std::unique_ptr<EngineType> engine; // none while the process is down
+        request::Shared shared;
+        std::shared_ptr<core::SteeringTable> table;
+        unsigned start = 0;
+    };
+
+    World(WorldOptions worldOptions, std::uint64_t seed, MakeEngine engineMaker)
+        : options(worldOptions)
+        , random(seed)
+        , makeEngine(std::move(engineMaker))
+    {
+        this->options.table.members = static_cast<std::uint32_t>(this->options.vms);
+        for (std::uint32_t i = 0; i < this->options.table.servers; ++i)
+            this->servers.push_back(std::make_unique<FakeServer>(this->scheduler, this->options.server));
+        this->vms.resize(this->options.vms);
+        for (std::size_t i = 0; i < this->vms.size(); ++i)
+            this->startVm(i);
+    }
+
+    // Starts the process of an entry VM with a new incarnation and empty memory.
+    void startVm(std::size_t index)
+    {
+        Vm& vm = this->vms[index];
+        ++vm.start;
+        TableOptions tableOptions = this->options.table;
+        tableOptions.self = static_cast<std::uint32_t>(index);
+        vm.shared = request::makeShared("vm" + std::to_string(index), core::Incarnation { vm.start }, this->random());
+        vm.engine = this->makeEngine(index, vm.shared);
+        vm.table = makeTable(tableOptions);
+        vm.table->suspects = this->suspects;
+        vm.table->quarantined = this->quarantined;
+        vm.engine->setTable(vm.table);
+    }
+
+    // Kills the process: open requests of callers are lost, servers see closed connections.
+    void killVm(std::size_t index)
+    {
+        Vm& vm = this->vms[index];
+        vm.engine.reset();
+        std::vector<core::RequestId> open;
+        for (const auto& [id, arrival] : this->arrivals) {
+            if (arrival.vm == index && arrival.start == vm.start && arrival.ends == 0)
+                open.push_back(id);
+        }
+        for (core::RequestId id : open) {
+            this->arrivals[id].ends = 1;
+            this->reports[id](id, { .error = {}, .lost = true, .key = {}, .at = this->scheduler.now() });
+        }
+    }
+
+    // A caller sends a request to an entry VM that is up. `report` is called once.
+    core::RequestId send(std::size_t vm, std::size_t job, request::RequestArrived arrival, bool poison, core::Duration work, Report report)
+    {
+        const core::RequestId id { ++this->lastRequest };
+        arrival.request = id;
+        this->arrivals[id] = { .vm = vm, .start = this->vms[vm].start, .job = job, .relayed = {}, .at = this->scheduler.now() };
+        this->reports[id] = std::move(report);
+        this->work[id] = { poison, work };
+        this->deliver(vm, this->vms[vm].start, request::Event(std::move(arrival)));
+        return id;
+    }
+
+    // Delivers an event to the process that it was meant for, and carries out the commands.
+    void deliver(std::size_t index, unsigned start, const request::Event& event)
+    {
+        Vm& vm = this->vms[index];
+        if (!vm.engine || vm.start != start)
+            return;
+        request::Commands commands;
+        request::Observations observations;
+        vm.engine->handle(event, this->scheduler.now(), commands, observations);
+        for (const request::Command& command : commands)
+            std::visit([&](const auto& typed) { this->execute(index, start, typed); }, command);
+        for (const request::Observation& observation : observations)
+            this->observe(observation);
+    }
+
+    // A new table with the present suspects and server states, for every entry VM.
+    void publish()
+    {
+        for (std::size_t i = 0; i < this->vms.size(); ++i) {
+            Vm& vm = this->vms[i];
+            if (!vm.engine)
+                continue;
+            auto next = std::make_shared<core::SteeringTable>(*vm.table);
+            ++next->generation;
+            next->suspects = this->suspects;
+            next->quarantined = this->quarantined;
+            for (std::size_t s = 0; s < next->servers.size(); ++s)
+                next->servers[s].state = this->ejected.contains(s) ? core::ServerState::Ejected : core::ServerState::Active;
+            vm.table = next;
+            vm.engine->setTable(next);
+            this->deliver(i, vm.start, request::CapacityChanged {});
+        }
+    }
+
+    bool chance(double probability) { return std::uniform_real_distribution<double>(0, 1)(this->random) < probability; }
+    core::Duration upTo(core::Duration most) { return core::Duration(std::uniform_int_distribution<core::Duration::rep>(0, most.count())(this->random)); }
+
+    WorldOptions options;
+    Scheduler scheduler;
+    core::RandomEngine random;
+    std::vector<std::unique_ptr<FakeServer>> servers;
+    std::vector<Vm> vms;
+    std::map<core::RequestId, Arrival> arrivals;
+    std::unordered_set<std::uint64_t> suspects;
+    std::unordered_set<std::uint64_t> quarantined;
+    Counts counts;
+
+private:
+    struct Sent {
+        core::RequestId request {};
+        std::size_t vm = 0;
+        unsigned start = 0;
+        std::size_t server = 0;
+        std::uint64_t workId = 0;
+        bool over = false; // its end was reported
+    };
+
+    using SentPointer = std::shared_ptr<Sent>;
+
+    void execute(std::size_t vm, unsigned start, const request::SendAttempt& command)
+    {
+        ++this->counts.attempts;
+        auto sent = std::make_shared<Sent>(Sent { .request = command.request, .vm = vm, .start = start, .server = command.server.value, .workId = ++this->lastWork });
+        this->sent[{ vm, start, command.attempt }] = sent;
+        const auto [poison, time] = this->work[command.request];
+        Work item { .id = sent->workId, .time = time, .poison = poison, .onRun = [this, request = command.request] { ++this->arrivals[request].runs; }, .onEnd = {} };
+        item.onEnd = [this, sent, attempt = command.attempt](core::AttemptResult result) { this->onServerEnd(sent, attempt, result); };
+        this->scheduler.after(this->options.oneWay + this->upTo(this->options.faults.jitter), [this, sent, item] {
+            if (!sent->over)
+                this->servers[sent->server]->submit(item);
+        });
+    }
+
+    // The server is done with an attempt; the front end hears of it later.
+    void onServerEnd(const SentPointer& sent, core::AttemptId attempt, core::AttemptResult result)
+    {
+        if (result == core::AttemptResult::Answered && this->chance(this->options.faults.lost))
+            return;
+        if (result == core::AttemptResult::ConnectFailed)
+            this->eject(sent->server);
+        core::Duration delay = this->options.oneWay + this->upTo(this->options.faults.jitter);
+        if (result == core::AttemptResult::Answered) {
+            const bool overtaken = this->chance(this->options.faults.reordered);
+            this->inform(sent, delay + core::Duration(overtaken ? 200 : 0), request::AnswerStarted { .request = sent->request, .attempt = attempt, .status = 200 });
+            delay += core::Duration(100);
+        }
+        this->scheduler.after(delay, [this, sent, attempt, result] { this->endAttempt(sent, attempt, result, result == core::AttemptResult::Answered ? 200 : 0); });
+    }
+
+    // The front end reports each attempt's end once; a faulty one reports it again, later.
+    void endAttempt(const SentPointer& sent, core::AttemptId attempt, core::AttemptResult result, std::uint16_t status)
+    {
+        if (sent->over)
+            return;
+        sent->over = true;
+        Arrival& arrival = this->arrivals[sent->request];
+        if (arrival.relayed == attempt && arrival.ends == 0) {
+            ++arrival.ends;
+            this->reports[sent->request](sent->request, { .error = {}, .key = {}, .at = this->scheduler.now() });
+        }
+        this->inform(sent, {}, request::AttemptEnded { .request = sent->request, .attempt = attempt, .result = result, .status = status, .retryAfter = {} });
+    }
+
+    template <typename EventType>
+    void inform(const SentPointer& sent, core::Duration delay, EventType event)
+    {
+        const auto later = [&](core::Duration extra, EventType copy) {
+            this->scheduler.after(delay + extra, [this, sent, copy] { this->deliver(sent->vm, sent->start, request::Event(copy)); });
+        };
+        later({}, event);
+        if (this->chance(this->options.faults.doubled))
+            later(this->upTo(std::chrono::milliseconds(20)), event);
+        if (this->chance(this->options.faults.crossed)) {
+            EventType crossed = event;
+            crossed.request = core::RequestId { static_cast<std::uint64_t>(event.request) - 1 };
+            later(this->upTo(std::chrono::milliseconds(5)), crossed);
+        }
+    }
+
+    void execute(std::size_t vm, unsigned start, const request::CancelAttempt& command)
+    {
+        const SentPointer sent = this->sent.at({ vm, start, command.attempt });
+        this->scheduler.after(this->options.oneWay, [this, sent] { this->servers[sent->server]->cancel(sent->workId); });
+        if (!this->chance(this->options.faults.lost))
+            this->endAttempt(sent, command.attempt, core::AttemptResult::Cancelled, 0);
+        sent->over = true;
+    }
+
+    void execute(std::size_t vm, unsigned start, const request::RelayAnswer& command)
+    {
+        Arrival& arrival = this->arrivals[command.request];
+        if (this->sent.at({ vm, start, command.attempt })->request != command.request)
+            ++this->counts.foreignAnswers;
+        if (arrival.relayed || arrival.ends > 0)
+            ++this->counts.doubleEnds;
+        arrival.relayed = command.attempt;
+    }
+
+    void execute(std::size_t, unsigned, const request::Reject& command)
+    {
+        Arrival& arrival = this->arrivals[command.request];
+        if (arrival.relayed || arrival.ends > 0)
+            ++this->counts.doubleEnds;
+        ++arrival.ends;
+        arrival.toldNotRun = core::answerFor(command.error).run == core::RunState::NotRun;
+        const Outcome outcome { .error = command.error, .key = command.key, .at = this->scheduler.now() };
+        this->scheduler.after(core::Duration(1), [this, id = command.request, outcome] { this->reports[id](id, outcome); });
+    }
+
+    void execute(std::size_t vm, unsigned start, const request::WaitUntil& command)
+    {
+        if (this->chance(this->options.faults.lost))
+            return;
+        this->scheduler.after(command.time - this->scheduler.now(), [this, vm, start, id = command.request] { this->deliver(vm, start, request::TimerDue { .request = id }); });
+    }
+
+    // Stands in for control: suspects and quarantines reach every entry VM after the gossip delay.
+    void observe(const request::Observation& observation)
+    {
+        if (const auto* crash = std::get_if<request::CrashObserved>(&observation)) {
+            this->scheduler.after(this->options.gossip, [this, crash = *crash] {
+                for (core::Fingerprint fingerprint : crash.inFlight)
+                    (crash.isolated ? this->quarantined : this->suspects).insert(static_cast<std::uint64_t>(fingerprint));
+                this->publish();
+            });
+        } else if (const auto* cleared = std::get_if<request::SuspectCleared>(&observation)) {
+            this->scheduler.after(this->options.gossip, [this, fingerprint = cleared->fingerprint] {
+                this->suspects.erase(static_cast<std::uint64_t>(fingerprint));
+                this->publish();
+            });
+        }
+    }
+
+    // Stands in for control's judgement of a server that refuses connections.
+    void eject(std::size_t server)
+    {
+        if (this->options.detection == core::Duration::zero() || !this->suspected.insert(server).second)
+            return;
+        this->scheduler.after(this->options.detection, [this, server] {
+            this->ejected.insert(server);
+            this->publish();
+        });
+        this->scheduler.after(this->options.detection + std::chrono::seconds(1), [this, server] {
+            this->ejected.erase(server);
+            this->suspected.erase(server);
+            this->publish();
+        });
+    }
+
+    MakeEngine makeEngine;
+    std::map<std::tuple<std::size_t, unsigned, core::AttemptId>, SentPointer> sent;
+    std::map<core::RequestId, Report> reports;
+    std::map<core::RequestId, std::pair<bool, core::Duration>> work;
+    std::set<std::size_t> suspected;
+    std::set<std::size_t> ejected;
+    std::uint64_t lastRequest = 0;
+    std::uint64_t lastWork = 0;
+};
+
+}
