Choose outside the home part by the latest good answer

A chooser that drew two random servers by old reports met more full servers than taking turns, and each entry VM had to find every slow server by itself.

Change: outside the home part the server with the latest good answer comes first, the others in turn; suspects come last; ejected servers that are not probed no longer count against the limit on ejections. Adds the benchmarks of head-of-line blocking and admission.

--- a/bench/decisions/admission.cpp
+++ b/bench/decisions/admission.cpp
@@ -1,5 +1,5 @@
 #include "decisions/bench.h"
-#include "request/queue.h"
+#include "decisions/fleet.h"
 
 #include <chrono>
 
@@ -31,12 +31,45 @@
         return elapsed.count() / rounds;
     }
 
+    // Work answered within its deadline, as a share of what the slots could do.
+    double goodput(const Result& result)
+    {
+        double work = 0;
+        for (const ClassResult& classResult : result.classes)
+            work += classResult.goodWork;
+        return work / result.capacity;
+    }
+
+    void overload(Report& report, std::uint32_t servers, std::uint32_t entryVms, double load, std::uint64_t seed)
+    {
+        const Scenario scenario { .name = std::to_string(servers) + "/" + std::to_string(entryVms) + " load " + std::to_string(load).substr(0, 3), .servers = servers, .entryVms = entryVms, .classes = { { .name = "short", .meanSeconds = 0.02, .load = load * 0.8, .deadline = std::chrono::milliseconds(500) }, { .name = "other", .meanSeconds = 0.05, .load = load * 0.2, .deadline = std::chrono::seconds(1) } }, .seconds = 30 };
+        const Events events = drawEvents(scenario, seed);
+        Result ours = runFleet<request::HomeSubset>(scenario, events, seed);
+        const Result naive = runFleet<request::RoundRobin>(scenario, events, seed);
+        const double share = goodput(ours);
+        const double answered = static_cast<double>(ours.classes[0].latencies.size());
+        report.add({ .bench = "admission", .name = scenario.name, .figures = {
+                                                                      { "goodput", share },
+                                                                      { "roundrobin_goodput", goodput(naive) },
+                                                                      { "p99_ms", quantile(ours.classes[0].latencies, 0.99) * 1000 },
+                                                                      { "late_share", static_cast<double>(ours.classes[0].late) / answered },
+                                                                      { "other_goodput", ours.classes[1].goodWork / ours.capacity },
+                                                                  },
+            .target = load >= 2 ? "goodput >= 0.95" : "",
+            .met = load < 2 || share >= 0.95 });
+    }
+
 }
 
 void admission(Report& report, std::uint64_t seed)
 {
     for (std::uint32_t length : { 10U, 100U, 1000U })
         report.add({ .bench = "admission", .name = "queue cost, length " + std::to_string(length), .figures = { { "ns", queueNanoseconds(length, seed) } }, .target = {} });
+    for (double load : { 1.2, 2.0, 4.0 })
+        overload(report, 25, 9, load, seed);
+    overload(report, 20, 8, 2, seed);
+    overload(report, 10, 8, 2, seed);
+    overload(report, 10, 9, 2, seed);
 }
 
 }
--- a/bench/decisions/bench.h
+++ b/bench/decisions/bench.h
@@ -42,6 +42,7 @@
 // Each runs all its cases. The seed fixes every random draw.
 using Benchmark = void (*)(Report&, std::uint64_t seed);
 
+void headOfLine(Report&, std::uint64_t seed);
 void choice(Report&, std::uint64_t seed);
 void admission(Report&, std::uint64_t seed);
 void lookup(Report&, std::uint64_t seed);
--- a/bench/decisions/fleet.h
+++ b/bench/decisions/fleet.h
@@ -18,6 +18,7 @@
         , events(drawnEvents)
         , servers(chosenScenario.servers)
         , warm(core::TimePoint {} + core::Duration(static_cast<std::int64_t>(chosenScenario.seconds * 0.1e6)))
+        , end(core::TimePoint {} + core::Duration(static_cast<std::int64_t>(chosenScenario.seconds * 1e6)))
         , result { .classes = std::vector<ClassResult>(chosenScenario.classes.size()), .capacity = chosenScenario.seconds * 0.9 * chosenScenario.servers * slotsPerServer }
     {
         for (std::uint32_t i = 0; i < this->scenario.entryVms; ++i)
@@ -144,13 +145,13 @@
         entryVm.times.add(classKey, now - attempt.startedAt);
         if constexpr (request::LearningChooser<ChooserType>)
             entryVm.chooser.ended({ .serverKey = entryVm.table->servers[attempt.server].key, .classKey = classKey, .length = workClass.length, .startedAt = attempt.startedAt }, now);
+        ClassResult& classResult = this->result.classes[job.classIndex];
+        const bool inTime = now <= job.arrival + workClass.deadline;
+        if (now >= this->warm && now < this->end && inTime)
+            classResult.goodWork += job.work;
         if (job.arrival >= this->warm) {
-            ClassResult& classResult = this->result.classes[job.classIndex];
             classResult.latencies.push_back(std::chrono::duration<double>(now - job.arrival).count());
-            if (now <= job.arrival + workClass.deadline && now <= core::TimePoint {} + std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(this->scenario.seconds)))
-                classResult.goodWork += job.work;
-            else
-                ++classResult.late;
+            classResult.late += inTime ? 0 : 1;
         }
         this->wake(entryVm, now);
     }
@@ -189,7 +190,8 @@
     std::deque<Attempt> attempts;
     std::vector<std::vector<std::uint32_t>> reports;
     Agenda agenda;
-    core::TimePoint warm;
+    core::TimePoint warm; // measured from here ...
+    core::TimePoint end; // ... to here
     Result result;
 };
 
--- /dev/null
+++ b/bench/decisions/headofline.cpp
@@ -0,0 +1,57 @@
+#include "decisions/bench.h"
+#include "decisions/fleet.h"
+
+namespace cranberryshed::bench {
+
+namespace {
+
+    // Short work beside archives on the same servers. Archives run 100 times longer.
+    Scenario mixed(const std::string& name, std::uint32_t servers, std::uint32_t entryVms, double shortLoad, double longLoad)
+    {
+        return { .name = name, .servers = servers, .entryVms = entryVms, .classes = {
+                                                                             { .name = "short", .meanSeconds = 0.02, .load = shortLoad },
+                                                                             { .name = "archive", .length = core::WorkLength::Long, .meanSeconds = 2, .load = longLoad, .deadline = std::chrono::seconds(120) },
+                                                                         },
+            .seconds = 120,
+            .queueLimit = std::chrono::seconds(100) };
+    }
+
+    double shortP99(Result& result) { return quantile(result.classes[0].latencies, 0.99) * 1000; }
+
+    void measure(Report& report, const Scenario& with, std::uint64_t seed)
+    {
+        Scenario without = with;
+        without.classes[1].load = 0;
+        const Events eventsWith = drawEvents(with, seed);
+        const Events eventsWithout = drawEvents(without, seed);
+        Result alone = runFleet<request::HomeSubset>(without, eventsWithout, seed);
+        Result beside = runFleet<request::HomeSubset>(with, eventsWith, seed);
+        Result naive = runFleet<request::RoundRobin>(with, eventsWith, seed);
+        Result ideal = runIdeal(with, eventsWith);
+        const double ratio = shortP99(beside) / shortP99(alone);
+        report.add({ .bench = "headofline", .name = with.name, .figures = {
+                                                                   { "alone_p99_ms", shortP99(alone) },
+                                                                   { "beside_p99_ms", shortP99(beside) },
+                                                                   { "roundrobin_p99_ms", shortP99(naive) },
+                                                                   { "ideal_p99_ms", shortP99(ideal) },
+                                                                   { "archive_p99_s", quantile(beside.classes[1].latencies, 0.99) },
+                                                                   { "archive_ideal_p99_s", quantile(ideal.classes[1].latencies, 0.99) },
+                                                                   { "archives_rejected", static_cast<double>(beside.classes[1].rejected) },
+                                                                   { "ratio", ratio },
+                                                               },
+            .target = "ratio <= 1.2",
+            .met = ratio <= 1.2 });
+    }
+
+}
+
+void headOfLine(Report& report, std::uint64_t seed)
+{
+    measure(report, mixed("schools 25/9 short 0.4 archives 0.2", 25, 9, 0.4, 0.2), seed);
+    measure(report, mixed("schools 25/9 short 0.3 archives 0.4", 25, 9, 0.3, 0.4), seed);
+    measure(report, mixed("schools 10/9 short 0.4 archives 0.2", 10, 9, 0.4, 0.2), seed);
+    measure(report, mixed("foundry 20/8 short 0.4 archives 0.2", 20, 8, 0.4, 0.2), seed);
+    measure(report, mixed("foundry 10/8 short 0.4 archives 0.2", 10, 8, 0.4, 0.2), seed);
+}
+
+}
--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::array rows = {
     Row { "choice", bench::choice },
+    Row { "headofline", bench::headOfLine },
     Row { "admission", bench::admission },
     Row { "lookup", bench::lookup },
 };
--- a/bench/decisions/rig.cpp
+++ b/bench/decisions/rig.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace cranberryshed::bench {
 
@@ -31,21 +32,30 @@
         std::ranges::stable_sort(events.jobs, {}, &Job::arrival);
     }
 
+    // The same number of servers is slow at any time. When a moment ends, the next one starts at another server.
     void drawMoments(const Scenario& scenario, Events& events, std::uint64_t seed)
     {
-        if (scenario.slowShare <= 0)
-            return;
         core::RandomEngine random(seed * 1000 + 999);
-        std::exponential_distribution<double> slowTime(1 / scenario.slowSeconds);
-        std::exponential_distribution<double> fastTime(scenario.slowShare / (1 - scenario.slowShare) / scenario.slowSeconds);
-        for (std::uint32_t server = 0; server < scenario.servers; ++server) {
-            bool slow = std::bernoulli_distribution(scenario.slowShare)(random);
-            double time = 0;
-            while (time < scenario.seconds) {
-                events.moments.push_back({ .server = server, .time = core::TimePoint {} + fromSeconds(time), .slow = slow });
-                time += slow ? slowTime(random) : fastTime(random);
-                slow = !slow;
-            }
+        std::exponential_distribution<double> length(1 / scenario.slowSeconds);
+        std::vector<std::uint32_t> order(scenario.servers);
+        std::iota(order.begin(), order.end(), 0);
+        std::ranges::shuffle(order, random);
+        const auto count = static_cast<std::size_t>(std::lround(scenario.slowShare * scenario.servers));
+        std::priority_queue<std::pair<double, std::size_t>, std::vector<std::pair<double, std::size_t>>, std::greater<>> ends;
+        const auto change = [&](double time, std::size_t place, bool slow) { events.moments.push_back({ .server = order[place], .time = core::TimePoint {} + fromSeconds(time), .slow = slow }); };
+        for (std::size_t i = 0; i < count; ++i) {
+            change(0, i, true);
+            ends.emplace(length(random), i);
+        }
+        while (!ends.empty()) {
+            const auto [time, place] = ends.top();
+            ends.pop();
+            if (time >= scenario.seconds)
+                break;
+            change(time, place, false);
+            std::swap(order[place], order[count + random() % (order.size() - count)]);
+            change(time, place, true);
+            ends.emplace(time + length(random), place);
         }
     }
 
--- a/src/app/server_standin.cpp
+++ b/src/app/server_standin.cpp
@@ -14,24 +14,24 @@
 
 namespace {
 
-namespace asio = wire::asio;
-namespace http = wire::http;
-namespace json = wire::json;
-using wire::error_code;
-using wire::Task;
-using wire::useResult;
-using Request = http::request<http::string_body>;
-
-constexpr std::uint64_t bodyLimit = 64ULL << 20; // bytes of a request's body
-constexpr std::size_t pieceSize = 64 * 1024; // bytes of an answer's body that are written at a time
-
-std::uint64_t numberField(const Request& request, std::string_view name)
-{
-    const std::string_view text = wire::toStd(request[wire::beast::string_view(name.data(), name.size())]);
-    std::uint64_t value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
-}
+    namespace asio = wire::asio;
+    namespace http = wire::http;
+    namespace json = wire::json;
+    using wire::error_code;
+    using wire::Task;
+    using wire::useResult;
+    using Request = http::request<http::string_body>;
+
+    constexpr std::uint64_t bodyLimit = 64ULL << 20; // bytes of a request's body
+    constexpr std::size_t pieceSize = 64 * 1024; // bytes of an answer's body that are written at a time
+
+    std::uint64_t numberField(const Request& request, std::string_view name)
+    {
+        const std::string_view text = wire::toStd(request[wire::beast::string_view(name.data(), name.size())]);
+        std::uint64_t value = 0;
+        std::from_chars(text.data(), text.data() + text.size(), value);
+        return value;
+    }
 
 }
 
--- a/src/request/book.cpp
+++ b/src/request/book.cpp
@@ -46,15 +46,25 @@
             carried[i].foreignAtReport = std::max(0.0, server.report->inFlight - own);
             carried[i].reportedAt = server.report->receivedAt;
         }
+        carried[i].home = server.home;
         newIndexes[server.key] = i;
         keys.push_back(server.key);
     }
-    this->pools.assign(poolNumbers.size(), {});
+    std::vector<Pool> carriedPools(poolNumbers.size());
     for (const ServerRecord& entry : carried)
-        this->pools[entry.pool].spilled += entry.spilled;
+        carriedPools[entry.pool].spilled += entry.spilled;
+    for (const Pool& pool : this->pools) {
+        for (core::ServerIndex old : pool.recent) {
+            const auto found = newIndexes.find(this->serverKeys[old.value]);
+            if (found != newIndexes.end() && !carried[found->second].home)
+                carriedPools[carried[found->second].pool].recent.push_back({ found->second });
+        }
+    }
+    this->pools = std::move(carriedPools);
     this->records = std::move(carried);
     this->indexes = std::move(newIndexes);
     this->outliers.setServers(keys);
+    this->serverKeys = std::move(keys);
 }
 
 void ServerBook::rebuildClass(const core::SteeringTable& table, const core::ClassEntry& entry, ClassRecord& classRecord)
@@ -123,6 +133,19 @@
         return;
     const double ratio = std::chrono::duration<double>(now - attempt.startedAt).count() / usual;
     entry.latency += this->options.latencyWeight * (ratio - entry.latency);
+    if (ratio <= this->options.goodRatio && !entry.home)
+        this->remember({ found->second });
+}
+
+void ServerBook::remember(core::ServerIndex index)
+{
+    std::vector<core::ServerIndex>& recent = this->pools[this->records[index.value].pool].recent;
+    const auto known = std::ranges::find(recent, index);
+    if (known != recent.end())
+        recent.erase(known);
+    else if (recent.size() >= this->options.recentLimit)
+        recent.pop_back();
+    recent.insert(recent.begin(), index);
 }
 
 }
--- a/src/request/book.h
+++ b/src/request/book.h
@@ -40,6 +40,8 @@
         core::Duration reportAge = std::chrono::milliseconds(100); // at which a report counts half
         double assumedUse = 0.8; // of the slots of a server without a report
         double latencyWeight = 0.2; // of one sample in the moving average
+        std::size_t recentLimit = 8; // servers in the list of good answers
+        double goodRatio = 3; // time of a good answer at most, in usual times
     };
 
     explicit ServerBook(Options bookOptions)
@@ -68,6 +70,9 @@
     // Requests that this thread runs outside its home part, at servers of the same service.
     std::size_t spilled(core::ServerIndex index) const { return this->pools[this->records[index.value].pool].spilled; }
 
+    // Servers of the same service outside the home part that gave this thread a good answer, the latest first.
+    std::span<const core::ServerIndex> recent(core::ServerIndex index) const { return this->pools[this->records[index.value].pool].recent; }
+
     void started(const core::SteeringTable&, core::ClassIndex, core::ServerIndex, core::TimePoint now);
     void ended(const EndedAttempt&, core::TimePoint now);
 
@@ -86,12 +91,15 @@
         core::TimePoint reportedAt {};
         std::size_t pool = 0;
         std::uint32_t spilled = 0;
+        bool home = false;
     };
 
     struct Pool {
         std::size_t spilled = 0;
+        std::vector<core::ServerIndex> recent; // servers outside the home part, by last good answer, latest first
     };
 
+    void remember(core::ServerIndex);
     void rebuildRecords(const core::SteeringTable&);
     void rebuildClass(const core::SteeringTable&, const core::ClassEntry&, ClassRecord&);
     double reportWeight(core::TimePoint reportedAt, core::TimePoint now) const;
@@ -104,6 +112,7 @@
     std::vector<ServerRecord> records; // by ServerIndex
     std::unordered_map<std::uint64_t, std::uint32_t> indexes; // server key to ServerIndex
     std::vector<Pool> pools; // by service
+    std::vector<std::uint64_t> serverKeys; // by ServerIndex
 };
 
 }
--- a/src/request/choose.cpp
+++ b/src/request/choose.cpp
@@ -149,7 +149,7 @@
         if (const std::optional<core::ServerIndex> other = this->chooseRest(request))
             return other;
     }
-    return std::nullopt;
+    return this->chooseHome(request, Standing::Suspect);
 }
 
 // The least loaded of the home part, of a random sample if that is large.
@@ -176,25 +176,42 @@
     return best;
 }
 
+// Takes the other servers in turn. Streams that visit the servers at even distances meet fewer full servers than
+// random draws do; a report is too old to tell which server is free.
 std::optional<core::ServerIndex> HomeSubset::chooseRest(const Request& request)
 {
     const std::vector<core::ServerIndex>& rest = request.group.rest;
-    for (std::size_t i = 0; !rest.empty() && i <= extraDraws(rest.size()); ++i) {
-        core::ServerIndex chosen = draw(rest, request.random);
-        const core::ServerIndex other = draw(rest, request.random);
-        std::optional<double> chosenScore = this->score(request, chosen, Standing::Usable);
-        const std::optional<double> otherScore = this->score(request, other, Standing::Usable);
-        if (otherScore && (!chosenScore || *otherScore < *chosenScore)) {
-            chosen = other;
-            chosenScore = otherScore;
+    if (this->options.useRecent) {
+        for (core::ServerIndex index : this->book.recent(rest.front())) {
+            const core::ServerEntry& server = request.table.at(index);
+            if (server.region != request.group.region || server.inFlight->inFlight() > 0)
+                continue;
+            if (this->score(request, index, Standing::Usable) && server.inFlight->tryAcquire(this->lanes.limit(server, request.classEntry.length)))
+                return index;
         }
-        if (!chosenScore)
+    }
+    std::optional<core::ServerIndex> best;
+    double bestScore = std::numeric_limits<double>::max();
+    const std::size_t tries = std::min(rest.size(), this->options.restSample + extraDraws(rest.size()));
+    std::size_t turn = this->nextRest;
+    for (std::size_t i = 0; i < tries; ++i) {
+        const std::size_t position = this->nextRest++ % rest.size();
+        const std::optional<double> candidate = this->score(request, rest[position], Standing::Probing);
+        if (!candidate || *candidate >= bestScore)
             continue;
-        const core::ServerEntry& server = request.table.at(chosen);
-        if (server.inFlight->tryAcquire(this->lanes.limit(server, request.classEntry.length)))
-            return chosen;
+        best = rest[position];
+        bestScore = *candidate;
+        turn = this->nextRest;
+        if (bestScore < this->options.goodScore)
+            break;
     }
-    return std::nullopt;
+    if (!best)
+        return std::nullopt;
+    this->nextRest = turn;
+    const core::ServerEntry& server = request.table.at(*best);
+    if (!server.inFlight->tryAcquire(this->lanes.limit(server, request.classEntry.length)))
+        return std::nullopt;
+    return best;
 }
 
 // Bounds what runs outside the home part, since other entry VMs spill at the same time.
@@ -220,7 +237,7 @@
     const Standing standing = this->book.standing(server, request.now);
     if (standing > worst)
         return std::nullopt;
-    const double load = own + this->book.foreign(server, index, request.group, request.now);
+    const double load = own + (this->options.useForeign ? this->book.foreign(server, index, request.group, request.now) : 0);
     return load / warmSlots(server) + (standing == Standing::Suspect ? suspectPenalty : 0);
 }
 
--- a/src/request/choose.h
+++ b/src/request/choose.h
@@ -76,8 +76,12 @@
     struct Options {
         ServerBook::Options book {};
         std::size_t homeSample = 8; // home servers compared for one choice
-        double spillFactor = 2; // requests outside the home part, in this VM's equal part of the free slots
+        double spillFactor = 8; // requests outside the home part, in this VM's equal part of the free slots
         std::size_t leastSpill = 1; // that may always run outside the home part
+        std::size_t restSample = 4;
+        double goodScore = 0.1;
+        bool useForeign = false;
+        bool useRecent = true;
         bool homeOnlyLong = true; // long classes stay in the home part
     };
 
@@ -120,6 +124,7 @@
     ServerBook book;
     LaneLimits lanes;
     RegionShares regionShares;
+    std::size_t nextRest = 0;
 };
 
 }
--- a/src/request/lanes.cpp
+++ b/src/request/lanes.cpp
@@ -50,10 +50,9 @@
 
 std::uint32_t warmSlots(const core::ServerEntry& server)
 {
-    if (server.state != core::ServerState::Warming && server.warmth >= 1)
+    if (server.warmth >= 1)
         return server.slots;
-    const double usable = std::floor(std::clamp(server.warmth, 0.0, 1.0) * server.slots + 1e-9);
-    return std::max(1U, static_cast<std::uint32_t>(usable));
+    return static_cast<std::uint32_t>(std::ceil(std::max(server.warmth, 0.0) * server.slots - 1e-9));
 }
 
 std::uint32_t longConnections(std::uint32_t connectionLimit, std::size_t entryVms, double longPart)
--- a/src/request/lanes.h
+++ b/src/request/lanes.h
@@ -40,7 +40,7 @@
     static LaneLimits forDemand(double longShare);
 };
 
-// Slots that may be used while the server warms up (slow start), at least 1.
+// Slots that may be used while the server warms up (slow start) or is drained.
 std::uint32_t warmSlots(const core::ServerEntry&);
 
 // The part of connections to a backend server that long classes may hold open from this entry VM.
--- a/src/request/outlier.cpp
+++ b/src/request/outlier.cpp
@@ -89,7 +89,7 @@
 
 std::size_t OutlierDetector::ejectedCount(core::TimePoint now) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(this->servers, [&](const auto& item) { return now < item.second.ejectedUntil || item.second.probing; }));
+    return static_cast<std::size_t>(std::ranges::count_if(this->servers, [&](const auto& item) { return now < item.second.ejectedUntil; }));
 }
 
 double OutlierDetector::typicalSeconds(std::uint64_t classKey) const
--- a/src/request/outlier.h
+++ b/src/request/outlier.h
@@ -22,17 +22,20 @@
 };
 
 // Whether a backend server gets work from this thread.
-enum class Standing : std::uint8_t { Usable,
-    Suspect, // an attempt takes much longer than usual: only used if nothing better is free
+// From best to worst.
+enum class Standing : std::uint8_t {
+    Usable,
     Probing, // was ejected: gets one request at a time until one is answered as fast as usual
-    Ejected };
+    Suspect, // an attempt takes much longer than usual: only used if nothing better is free
+    Ejected,
+};
 }
 
 namespace cranberryshed::core {
 
 template <>
 struct Names<request::Standing> {
-    static constexpr std::array<std::string_view, 4> values = { "usable", "suspect", "probing", "ejected" };
+    static constexpr std::array<std::string_view, 4> values = { "usable", "probing", "suspect", "ejected" };
 };
 
 }
@@ -51,7 +54,7 @@
         double slowRatio = 4; // time of an attempt that counts as slow, in usual times
         std::uint32_t strikes = 2; // slow or failed attempts without a good one in between
         double largestShareOut = 0.4; // of the servers, that may be ejected at the same time
-        core::Duration firstEjection = std::chrono::milliseconds(250);
+        core::Duration firstEjection = std::chrono::milliseconds(500);
         core::Duration longestEjection = std::chrono::seconds(5); // doubles from the first up to this
     };
 
