--- a/src/declare/files.cpp
+++ b/src/declare/files.cpp
@@ -53,8 +53,8 @@
         bool twice = std::any_of(result.objects.begin(), result.objects.end(), [&](const core::Object& other) { return other.kind == declared.kind && other.name == declared.name; });
         if (twice)
             result.problems.push_back({ declared.kind + '/' + declared.name, "is declared more than once" });
-        object->erase("kind");
-        object->erase("name");
+        object->stable_erase("kind");
+        object->stable_erase("name");
         declared.content = json::serialize(*object);
         result.objects.push_back(std::move(declared));
     }
--- a/src/platform/http_client_impl.h
+++ b/src/platform/http_client_impl.h
@@ -10,9 +10,6 @@
 
 #include <algorithm>
 
-// g++ 12 takes the inlined deallocation of Asio's coroutine frames for a mismatch.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 namespace cranberryshed::platform {
 
 namespace asio = boost::asio;
