Add the operators' commands as a pipeline

Cause: operators check, compare and write declarations from the command line. Conclusion: the commands take option structs, so main only has to parse.

--- /dev/null
+++ b/src/admin/access.cpp
@@ -0,0 +1,128 @@
+#include "admin/access.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <random>
+
+namespace cranberryshed::admin {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+    constexpr core::Duration memberDeadline = std::chrono::seconds(2);
+
+    // A command is short and has one operator behind it, so it may use more of the store than a member.
+    constexpr platform::RateOptions commandRate = { .perSecond = 100, .burst = 100 };
+
+    std::uint64_t randomBits()
+    {
+        std::random_device device;
+        return static_cast<std::uint64_t>(device()) << 32 | device();
+    }
+
+    platform::ClientOptions clientOptions(const Options& options)
+    {
+        std::uint64_t seed = randomBits();
+        return {
+            .writer = options.writer.empty() ? "command-" + std::to_string(seed) : options.writer,
+            .seed = seed,
+            .callDeadline = std::min<core::Duration>(options.storeDeadline, std::chrono::seconds(2)),
+            .totalDeadline = options.storeDeadline,
+            .backoff = {},
+            .rate = commandRate,
+            // The total deadline ends a command's calls; an open breaker would end them too early.
+            .breaker = { .failuresToOpen = 1000, .probes = {} },
+        };
+    }
+
+    // The revision in a member's state dump.
+    std::optional<std::uint64_t> revisionOf(const platform::HttpReply& reply)
+    {
+        if (reply.end != platform::ExchangeEnd::Answered || reply.status != 200)
+            return std::nullopt;
+        boost::system::error_code error;
+        json::value dump = json::parse(reply.body, error);
+        const json::object* object = error ? nullptr : dump.if_object();
+        const json::value* revision = object ? object->if_contains("configurationRevision") : nullptr;
+        if (!revision || !revision->is_number())
+            return std::nullopt;
+        auto number = revision->to_number<std::uint64_t>(error);
+        return error ? std::nullopt : std::optional(number);
+    }
+
+    asio::awaitable<void> askMember(asio::io_context& context, std::string member, std::optional<std::uint64_t>& answer)
+    {
+        platform::HttpTransport transport(context, member);
+        platform::HttpRequest request { .verb = platform::Verb::Get, .target = "/v1/dump", .body = {} };
+        platform::HttpReply reply = co_await transport.exchange(std::move(request), transport.now() + memberDeadline);
+        answer = revisionOf(reply);
+    }
+
+}
+
+Access::Access(const Options& options)
+    : transport(this->context, options.store)
+    , client(this->transport, clientOptions(options))
+{
+}
+
+template <typename Result>
+Result Access::run(asio::awaitable<Result> call)
+{
+    std::optional<Result> result;
+    std::exception_ptr failure;
+    asio::co_spawn(this->context, std::move(call), [&](const std::exception_ptr& error, Result value) {
+        failure = error;
+        result = std::move(value);
+    });
+    this->context.restart();
+    this->context.run();
+    if (failure)
+        std::rethrow_exception(failure);
+    return std::move(*result);
+}
+
+platform::ObjectBatch Access::list(const std::string& kind)
+{
+    return this->run(this->client.list(kind));
+}
+
+platform::StoredObject Access::get(const std::string& kind, const std::string& name)
+{
+    return this->run(this->client.get(kind, name));
+}
+
+platform::WriteResult Access::put(const core::Object& object, std::uint64_t ifVersion)
+{
+    return this->run(this->client.put(object, ifVersion));
+}
+
+core::ServerList Access::vms()
+{
+    return this->run(this->client.vms());
+}
+
+std::map<std::string, std::optional<std::uint64_t>> Access::revisions(const std::vector<std::string>& members)
+{
+    std::map<std::string, std::optional<std::uint64_t>> answers;
+    for (const std::string& member : members)
+        answers[member];
+    for (auto& [member, answer] : answers)
+        asio::co_spawn(this->context, askMember(this->context, member, answer), asio::detached);
+    this->context.restart();
+    this->context.run();
+    return answers;
+}
+
+void Access::waitUntil(core::TimePoint time)
+{
+    asio::co_spawn(this->context, this->transport.waitUntil(time), asio::detached);
+    this->context.restart();
+    this->context.run();
+}
+
+}
--- /dev/null
+++ b/src/admin/access.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "admin/context.h"
+#include "platform/http_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+
+namespace cranberryshed::admin {
+
+// Calls to the store and to members' admin addresses for commands: each runs to its end on the calling thread.
+class Access {
+public:
+    // Throws core::Error (BadSettings) if the store's address is malformed.
+    explicit Access(const Options& options);
+
+    platform::ObjectBatch list(const std::string& kind);
+    platform::StoredObject get(const std::string& kind, const std::string& name);
+    platform::WriteResult put(const core::Object& object, std::uint64_t ifVersion);
+    core::ServerList vms();
+
+    // Asks each member for the revision that it has in force. Nothing for one that does not answer.
+    std::map<std::string, std::optional<std::uint64_t>> revisions(const std::vector<std::string>& members);
+
+    core::TimePoint now() const { return this->transport.now(); }
+    void waitUntil(core::TimePoint time);
+
+private:
+    template <typename Result>
+    Result run(boost::asio::awaitable<Result> call);
+
+    boost::asio::io_context context;
+    platform::HttpTransport transport;
+    platform::HttpClient client;
+};
+
+}
--- /dev/null
+++ b/src/admin/check.cpp
@@ -0,0 +1,50 @@
+#include "admin/check.h"
+
+#include "declare/load.h"
+#include "declare/together.h"
+
+#include <boost/json.hpp>
+
+namespace cranberryshed::admin {
+
+namespace {
+
+    Step refuse(Context context)
+    {
+        std::size_t count = context.problems.size();
+        return fail(std::move(context), core::ErrorKind::BadDeclaration, std::to_string(count) + (count == 1 ? " fault" : " faults") + " found; nothing was written");
+    }
+
+}
+
+Step CheckObjects::operator()(Context context, core::TimePoint) const
+{
+    for (const core::Object& object : context.declared) {
+        std::vector<declare::Problem> faults = declare::checkContent(*core::parseName<declare::Kind>(object.kind), object.name,
+            boost::json::parse(object.content), declare::UnknownKeys::Refuse);
+        context.problems.insert(context.problems.end(), faults.begin(), faults.end());
+        if (object.content.size() > platform::largestContentBytes)
+            context.problems.push_back({ object.kind + '/' + object.name, "has " + std::to_string(object.content.size()) + " bytes; at most " + std::to_string(platform::largestContentBytes) + " are allowed" });
+    }
+    if (!context.problems.empty())
+        return refuse(std::move(context));
+    return Step::pass(std::move(context));
+}
+
+Step CheckTogether::operator()(Context context, core::TimePoint) const
+{
+    std::vector<core::Object> all = context.declared;
+    declare::TogetherOptions options { .now = context.options.now, .unchanged = {}, .servers = context.servers ? &*context.servers : nullptr };
+    for (const Difference& difference : context.differences) {
+        if (difference.change == Change::OnlyInStore)
+            all.push_back(difference.stored.object);
+        if (difference.change == Change::OnlyInStore || difference.change == Change::Same)
+            options.unchanged.insert(difference.declared.kind + '/' + difference.declared.name);
+    }
+    context.problems = declare::checkTogether(declare::load(all), options);
+    if (!context.problems.empty())
+        return refuse(std::move(context));
+    return Step::pass(std::move(context));
+}
+
+}
--- /dev/null
+++ b/src/admin/commands.cpp
@@ -0,0 +1,129 @@
+#include "admin/commands.h"
+
+#include "admin/access.h"
+#include "admin/pipeline.h"
+#include "admin/status.h"
+#include "admin/wait.h"
+#include "declare/text.h"
+#include "platform/http_codec.h"
+
+namespace cranberryshed::admin {
+
+namespace {
+
+    core::TimePoint steadyNow()
+    {
+        return std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now());
+    }
+
+    // Runs a command and turns its error into a message and an exit code.
+    template <typename Command>
+    int guarded(const Options& options, std::ostream& output, const Command& command)
+    {
+        try {
+            return command();
+        } catch (const core::Error& error) {
+            return reportError(error, options.output, output);
+        }
+    }
+
+    void requirePaths(const Options& options)
+    {
+        if (options.paths.empty())
+            throw core::Error(core::ErrorKind::BadUsage, "name at least one file or directory");
+    }
+
+    // The objects that `get` asks for, without deleted ones.
+    std::vector<platform::StoredObject> read(Access& access, const Options& options)
+    {
+        std::vector<platform::StoredObject> objects;
+        if (!options.name.empty()) {
+            objects.push_back(access.get(options.kind, options.name));
+        } else {
+            for (std::string_view kind : core::Names<declare::Kind>::values) {
+                if (kind == core::nameOf(declare::Kind::Vm) || (!options.kind.empty() && options.kind != kind))
+                    continue;
+                platform::ObjectBatch batch = access.list(std::string(kind));
+                std::move(batch.objects.begin(), batch.objects.end(), std::back_inserter(objects));
+            }
+        }
+        std::erase_if(objects, [](const platform::StoredObject& stored) { return stored.object.deleted; });
+        if (objects.empty() && !options.name.empty())
+            throw core::Error(core::ErrorKind::NotFound, options.kind + '/' + options.name + " does not exist");
+        return objects;
+    }
+
+}
+
+int check(const Options& options, std::ostream& output)
+{
+    return guarded(options, output, [&] {
+        requirePaths(options);
+        return run(CheckPipe { ReadFiles {}, CheckObjects {}, CheckTogether {} }, options, steadyNow(), output);
+    });
+}
+
+int diff(const Options& options, std::ostream& output)
+{
+    return guarded(options, output, [&] {
+        requirePaths(options);
+        Access access(options);
+        DiffPipe<Access> pipe { ReadFiles {}, CheckObjects {}, ReadStore<Access> { access }, Compare {}, CheckTogether {} };
+        return run(std::move(pipe), options, steadyNow(), output);
+    });
+}
+
+int apply(const Options& options, std::ostream& output)
+{
+    return guarded(options, output, [&] {
+        requirePaths(options);
+        Access access(options);
+        ApplyPipe<Access> pipe { ReadFiles {}, CheckObjects {}, ReadStore<Access> { access }, Compare {}, CheckTogether {}, Write<Access> { access } };
+        return run(std::move(pipe), options, steadyNow(), output);
+    });
+}
+
+int get(const Options& options, std::ostream& output)
+{
+    return guarded(options, output, [&] {
+        if (!options.kind.empty() && (!core::parseName<declare::Kind>(options.kind) || options.kind == core::nameOf(declare::Kind::Vm)))
+            throw core::Error(core::ErrorKind::BadUsage, "\"" + options.kind + "\" is no kind of object; allowed are " + declare::operatorKindNames() + ", status, lease");
+        if (!options.name.empty() && !declare::isName(options.name))
+            throw core::Error(core::ErrorKind::BadUsage, "\"" + options.name + "\" can't be the name of an object");
+        Access access(options);
+        std::vector<std::string> lines;
+        for (const platform::StoredObject& stored : read(access, options)) {
+            const core::Object& object = stored.object;
+            if (options.output == OutputForm::Json)
+                lines.push_back(platform::encodeObject(stored));
+            else
+                lines.push_back(object.kind + '/' + object.name + " revision " + std::to_string(object.version.revision) + " version " + std::to_string(object.version.version) + ' ' + object.content);
+        }
+        bool json = options.output == OutputForm::Json;
+        output << (json ? "[" : "");
+        for (const std::string& line : lines)
+            output << (json && &line != lines.data() ? ",\n" : "") << line << (json ? "" : "\n");
+        output << (json ? "]\n" : "");
+        return 0;
+    });
+}
+
+int status(const Options& options, std::ostream& output)
+{
+    return guarded(options, output, [&] {
+        Access access(options);
+        return showStatus(readStatus(access), options, output);
+    });
+}
+
+int wait(const Options& options, std::ostream& output)
+{
+    return guarded(options, output, [&] {
+        if (options.members.empty())
+            throw core::Error(core::ErrorKind::BadUsage, "name the admin address of at least one member");
+        Access access(options);
+        return reportWait(waitForMembers(access, options), options, output);
+    });
+}
+
+}
--- /dev/null
+++ b/src/admin/compare.cpp
@@ -0,0 +1,83 @@
+#include "admin/compare.h"
+
+#include <boost/json.hpp>
+#include <set>
+
+namespace cranberryshed::admin {
+
+namespace json = boost::json;
+
+namespace {
+
+    // Longer lists, such as caller blocks, are shown by their size.
+    constexpr std::size_t longestShownList = 8;
+
+    std::string shown(const json::value* value)
+    {
+        if (!value)
+            return "(none)";
+        const json::array* list = value->if_array();
+        if (list && list->size() > longestShownList)
+            return '[' + std::to_string(list->size()) + " entries]";
+        return json::serialize(*value);
+    }
+
+    json::object parseObject(const std::string& text)
+    {
+        boost::system::error_code error;
+        json::value value = json::parse(text, error);
+        return !error && value.is_object() ? std::move(value.as_object()) : json::object();
+    }
+
+    bool sameContent(const std::string& left, const std::string& right)
+    {
+        return left == right || parseObject(left) == parseObject(right);
+    }
+
+}
+
+std::vector<std::string> differingKeys(const std::string& before, const std::string& after)
+{
+    json::object left = parseObject(before);
+    json::object right = parseObject(after);
+    std::set<std::string> keys;
+    for (const auto& member : left)
+        keys.emplace(member.key());
+    for (const auto& member : right)
+        keys.emplace(member.key());
+    std::vector<std::string> lines;
+    for (const std::string& key : keys) {
+        const json::value* old = left.if_contains(key);
+        const json::value* fresh = right.if_contains(key);
+        if (!old || !fresh || *old != *fresh)
+            lines.push_back(key + ": " + shown(old) + " -> " + shown(fresh));
+    }
+    return lines;
+}
+
+Step Compare::operator()(Context context, core::TimePoint) const
+{
+    bool storeWentBack = context.memberRevision > context.storeRevision;
+    auto unseen = context.stored;
+    for (const core::Object& declared : context.declared) {
+        Difference difference { .change = Change::Added, .declared = declared, .stored = {}, .rewrite = false };
+        auto position = context.stored.find({ declared.kind, declared.name });
+        if (position != context.stored.end() && !position->second.object.deleted) {
+            difference.stored = position->second;
+            bool same = sameContent(position->second.object.content, declared.content);
+            difference.change = same ? Change::Same : Change::Changed;
+            difference.rewrite = same && storeWentBack;
+        }
+        unseen.erase({ declared.kind, declared.name });
+        context.differences.push_back(std::move(difference));
+    }
+    for (auto& [key, stored] : unseen) {
+        if (stored.object.deleted)
+            continue;
+        core::Object name { .kind = key.first, .name = key.second, .version = {}, .deleted = false, .content = {} };
+        context.differences.push_back({ .change = Change::OnlyInStore, .declared = std::move(name), .stored = std::move(stored), .rewrite = false });
+    }
+    return Step::pass(std::move(context));
+}
+
+}
--- /dev/null
+++ b/src/admin/read.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "admin/context.h"
+#include "declare/kinds.h"
+
+#include <algorithm>
+
+namespace cranberryshed::admin {
+
+// Filter: reads the declarations of the given files and directories.
+struct ReadFiles {
+    Step operator()(Context, core::TimePoint now) const;
+};
+
+// Filter: reads the operators' objects from the store, its list of VMs, and the revisions in force on members.
+template <Store StoreType>
+struct ReadStore {
+    StoreType& store;
+
+    Step operator()(Context context, core::TimePoint) const
+    {
+        try {
+            for (std::size_t i = 0; i < declare::operatorKinds; ++i) {
+                for (platform::StoredObject& stored : this->store.list(std::string(core::nameOf(static_cast<declare::Kind>(i)))).objects) {
+                    context.storeRevision = std::max(context.storeRevision, stored.object.version.revision);
+                    context.stored[{ stored.object.kind, stored.object.name }] = std::move(stored);
+                }
+            }
+            context.servers = this->store.vms();
+        } catch (const core::Error& error) {
+            return fail(std::move(context), error.kind(), error.what());
+        }
+        for (const auto& [member, revision] : this->store.revisions(context.options.members))
+            context.memberRevision = std::max(context.memberRevision, revision.value_or(0));
+        return Step::pass(std::move(context));
+    }
+};
+
+}
--- /dev/null
+++ b/src/admin/status.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "admin/access.h"
+#include "declare/status.h"
+
+#include <ostream>
+
+namespace cranberryshed::admin {
+
+// Targets and drains as declared, with what the status object says about them.
+struct StatusView {
+    core::Declarations declarations;
+    std::optional<declare::Status> measured; // nothing if no member has written one yet
+};
+
+StatusView readStatus(Access& access);
+
+// Prints one line per class and per batch. A target that is not met is marked. Returns 0.
+int showStatus(const StatusView& view, const Options& options, std::ostream& output);
+
+}
--- /dev/null
+++ b/src/admin/wait.cpp
@@ -0,0 +1,71 @@
+#include "admin/wait.h"
+
+#include "admin/report.h"
+#include "declare/kinds.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace cranberryshed::admin {
+
+namespace json = boost::json;
+
+namespace {
+
+    constexpr core::Duration askEvery = std::chrono::milliseconds(200);
+
+    std::uint64_t acceptedRevision(Access& access)
+    {
+        std::uint64_t revision = 0;
+        for (std::size_t i = 0; i < declare::operatorKinds; ++i) {
+            for (const platform::StoredObject& stored : access.list(std::string(core::nameOf(static_cast<declare::Kind>(i)))).objects)
+                revision = std::max(revision, stored.object.version.revision);
+        }
+        return revision;
+    }
+
+    json::array textArray(const std::vector<std::string>& texts)
+    {
+        json::array array;
+        for (const std::string& text : texts)
+            array.emplace_back(text);
+        return array;
+    }
+
+}
+
+WaitResult waitForMembers(Access& access, const Options& options)
+{
+    WaitResult result { .revision = options.revision ? *options.revision : acceptedRevision(access), .lacking = {}, .silent = {} };
+    core::TimePoint end = access.now() + options.waitDeadline;
+    while (true) {
+        result.lacking.clear();
+        result.silent.clear();
+        for (const auto& [member, revision] : access.revisions(options.members)) {
+            if (!revision)
+                result.silent.push_back(member);
+            else if (*revision < result.revision)
+                result.lacking.push_back(member);
+        }
+        if ((result.lacking.empty() && result.silent.empty()) || access.now() + askEvery >= end)
+            return result;
+        access.waitUntil(access.now() + askEvery);
+    }
+}
+
+int reportWait(const WaitResult& result, const Options& options, std::ostream& output)
+{
+    bool inForce = result.lacking.empty() && result.silent.empty();
+    if (options.output == OutputForm::Json) {
+        output << json::serialize(json::object { { "revision", result.revision }, { "inForce", inForce }, { "lacking", textArray(result.lacking) }, { "silent", textArray(result.silent) } }) << '\n';
+    } else {
+        for (const std::string& member : result.lacking)
+            output << member << ": an older revision is in force\n";
+        for (const std::string& member : result.silent)
+            output << member << ": does not answer\n";
+        output << "revision " << result.revision << (inForce ? " is in force on every member" : " is not in force on every member") << '\n';
+    }
+    return inForce ? 0 : core::answerFor(core::ErrorKind::NotInForce).exitCode;
+}
+
+}
--- /dev/null
+++ b/src/admin/write.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "admin/context.h"
+
+#include <algorithm>
+
+namespace cranberryshed::admin {
+
+// Filter: writes what differs, each object on the condition that the store still holds the version that was
+// compared. All writes of one command carry one revision, above every revision known to store and members. Stops
+// at the first write that does not succeed; a repeated command continues from there.
+template <Store StoreType>
+struct Write {
+    StoreType& store;
+
+    Step operator()(Context context, core::TimePoint) const
+    {
+        std::vector<const Difference*> todo;
+        for (const Difference& difference : context.differences) {
+            if (difference.change == Change::Added || difference.change == Change::Changed || difference.rewrite)
+                todo.push_back(&difference);
+        }
+        if (todo.empty())
+            return Step::pass(std::move(context));
+        context.revision = std::max(context.storeRevision, context.memberRevision) + 1;
+        for (const Difference* difference : todo) {
+            core::Object object = difference->declared;
+            object.version.revision = context.revision;
+            WriteReport entry { .outcome = WriteOutcome::NotWritten, .declared = std::move(object), .stored = {} };
+            if (!context.failure)
+                this->write(context, entry, difference->stored.object.version.version);
+            context.writes.push_back(std::move(entry));
+        }
+        return context.failure ? Step::end(std::move(context)) : Step::pass(std::move(context));
+    }
+
+private:
+    void write(Context& context, WriteReport& entry, std::uint64_t ifVersion) const
+    {
+        try {
+            platform::WriteResult result = this->store.put(entry.declared, ifVersion);
+            entry.outcome = result.written ? WriteOutcome::Written : WriteOutcome::Conflict;
+            entry.stored = std::move(result.current);
+            if (!result.written) {
+                context.failure = core::ErrorKind::VersionConflict;
+                context.failureText = entry.declared.kind + '/' + entry.declared.name + " was changed by another writer; look at both versions and run the command again";
+            }
+        } catch (const core::Error& error) {
+            if (error.kind() == core::ErrorKind::WriteUnclear)
+                entry.outcome = WriteOutcome::Unclear;
+            context.failure = error.kind();
+            context.failureText = error.what();
+        }
+    }
+};
+
+}
