--- a/src/request/crash.cpp
+++ b/src/request/crash.cpp
@@ -9,51 +9,75 @@
 {
 }
 
-Standing CrashBook::onCrash(core::Fingerprint fingerprint, bool isolated, core::TimePoint now)
+Suspicion CrashBook::onCrash(core::Fingerprint fingerprint, bool isolatedRun, core::TimePoint now)
 {
+    const std::lock_guard lock(this->mutex);
+    const bool held = this->ownSuspicion(fingerprint, now) == Suspicion::Quarantined;
     if (!this->entries.contains(fingerprint))
         this->makeRoom();
     Entry& entry = this->entries[fingerprint];
-    const bool held = entry.standing == Standing::Quarantined && entry.until > now;
-    if (isolated || held)
-        entry = { .standing = Standing::Quarantined, .until = now + this->options.quarantine };
-    else
-        entry = { .standing = Standing::Suspect, .until = now + this->options.suspicion };
-    return entry.standing;
+    if (isolatedRun)
+        entry = { .level = Suspicion::Quarantined, .until = now + this->options.quarantineTime };
+    else if (!held)
+        entry = { .level = Suspicion::Suspect, .until = now + this->options.suspectTime };
+    this->empty = false;
+    return entry.level;
 }
 
 bool CrashBook::onSuccess(core::Fingerprint fingerprint, const core::SteeringTable& table, core::TimePoint now)
 {
-    if (this->entries.empty() && table.suspects.empty())
+    if (this->suspicion(fingerprint, table, now) != Suspicion::Suspect)
         return false;
-    const bool suspect = this->standing(fingerprint, table, now) == Standing::Suspect;
-    if (suspect)
-        this->entries.erase(fingerprint);
-    return suspect;
+    const std::lock_guard lock(this->mutex);
+    this->entries.erase(fingerprint);
+    this->empty = this->entries.empty();
+    return true;
 }
 
-Standing CrashBook::standing(core::Fingerprint fingerprint, const core::SteeringTable& table, core::TimePoint now) const
+Suspicion CrashBook::suspicion(core::Fingerprint fingerprint, const core::SteeringTable& table, core::TimePoint now) const
 {
     const auto value = static_cast<std::uint64_t>(fingerprint);
-    if (table.quarantined.contains(value))
-        return Standing::Quarantined;
+    if (!table.quarantined.empty() && table.quarantined.contains(value))
+        return Suspicion::Quarantined;
+    const bool known = !table.suspects.empty() && table.suspects.contains(value);
+    if (this->empty)
+        return known ? Suspicion::Suspect : Suspicion::Clear;
+    const std::lock_guard lock(this->mutex);
+    return std::max(this->ownSuspicion(fingerprint, now), known ? Suspicion::Suspect : Suspicion::Clear);
+}
+
+// A quarantine that control did not confirm in time leaves a suspect.
+Suspicion CrashBook::ownSuspicion(core::Fingerprint fingerprint, core::TimePoint now) const
+{
     const auto found = this->entries.find(fingerprint);
-    if (found != this->entries.end()) {
-        if (found->second.until > now)
-            return found->second.standing;
-        // A quarantine that control did not confirm leaves a suspect.
-        if (found->second.standing == Standing::Quarantined && found->second.until + this->options.suspicion > now)
-            return Standing::Suspect;
-    }
-    return table.suspects.contains(value) ? Standing::Suspect : Standing::Clear;
+    if (found == this->entries.end())
+        return Suspicion::Clear;
+    const Entry& entry = found->second;
+    if (entry.until > now)
+        return entry.level;
+    const bool unconfirmed = entry.level == Suspicion::Quarantined && entry.until + this->options.suspectTime > now;
+    return unconfirmed ? Suspicion::Suspect : Suspicion::Clear;
+}
+
+bool CrashBook::beginIsolation(core::Fingerprint fingerprint)
+{
+    const std::lock_guard lock(this->mutex);
+    return this->isolated.insert(fingerprint).second;
+}
+
+void CrashBook::endIsolation(core::Fingerprint fingerprint)
+{
+    const std::lock_guard lock(this->mutex);
+    this->isolated.erase(fingerprint);
 }
 
 void CrashBook::forgetExpired(core::TimePoint now)
 {
-    std::erase_if(this->entries, [&](const auto& item) {
-        const Entry& entry = item.second;
-        return entry.until + (entry.standing == Standing::Quarantined ? this->options.suspicion : core::Duration {}) <= now;
-    });
+    if (this->empty)
+        return;
+    const std::lock_guard lock(this->mutex);
+    std::erase_if(this->entries, [&](const auto& item) { return this->ownSuspicion(item.first, now) == Suspicion::Clear; });
+    this->empty = this->entries.empty();
 }
 
 void CrashBook::makeRoom()
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -4,13 +4,14 @@
 #include "wire/log.h"
 #include "wire/session.h"
 
-#include <future>
 
 namespace cranberryshed::wire {
 
 namespace {
 
     constexpr int listenBacklog = 1024;
+constexpr core::Duration observationDelay = std::chrono::milliseconds(100);
+constexpr std::size_t largestBatch = 1000; // observations
 
     // Request ids are unique in the process: the thread's index is in the upper bits.
     constexpr unsigned threadIndexShift = 48;
@@ -23,9 +24,10 @@
     : options(std::move(workerOptions))
     , work(asio::make_work_guard(*this->context))
     , currentTable(std::make_shared<core::SteeringTable>())
-    , engine(this->options.engine, {}, this->options.seed)
-    , lookups(lookup::FindClass {}, lookup::RankMembers {})
+    , engine(this->options.engine, {}, this->options.shared, this->options.seed)
+    , lookups(lookup::FindClass {}, lookup::LocateCaller {}, lookup::RankMembers {}, lookup::IssueKey { *this->options.shared.keys })
     , pool(this->options.pool)
+    , observationTimer(this->executor())
 {
     this->engine.setTable(this->currentTable);
 }
@@ -38,6 +40,7 @@
         this->thread.join();
     // Destroying the context ends the coroutines of open connections, which still use the other members.
     this->exchanges.clear();
+    this->observationTimer.cancel();
     this->pool.clear();
     this->acceptor.reset();
     this->context.reset();
@@ -61,26 +64,17 @@
     this->thread = std::thread([this] { this->context->run(); });
 }
 
-void Worker::stop(core::Duration limit)
-{
-    std::promise<void> finished;
-    asio::co_spawn(
-        *this->context, [&]() -> Task<void> {
-            this->closing = true;
-            if (this->acceptor)
-                this->acceptor->close();
-            if (!this->exchanges.empty()) {
-                this->drainTimer = std::make_unique<Timer>(this->executor());
-                this->drainTimer->expires_after(limit);
-                co_await this->drainTimer->async_wait(useResult);
-                this->drainTimer.reset();
-            }
-            finished.set_value();
-        },
-        asio::detached);
-    finished.get_future().wait();
-    this->context->stop();
-    this->thread.join();
+Task<void> Worker::drain(core::Duration limit)
+{
+    this->closing = true;
+    if (this->acceptor)
+        this->acceptor->close();
+    if (this->exchanges.empty())
+        co_return;
+    this->drainTimer = std::make_unique<Timer>(this->executor());
+    this->drainTimer->expires_after(limit);
+    co_await this->drainTimer->async_wait(useResult);
+    this->drainTimer.reset();
 }
 
 void Worker::setTable(core::SteeringTablePointer newTable)
@@ -100,9 +94,30 @@
 void Worker::handle(const request::Event& event)
 {
     request::Commands commands;
-    this->engine.handle(event, steadyNow(), commands);
+    this->engine.handle(event, steadyNow(), commands, this->observations);
     for (const request::Command& command : commands)
         std::visit([this](const auto& typed) { this->execute(typed); }, command);
+    this->passObservations();
+}
+
+// Control gets observations in batches, because a message to another thread for each request costs more than
+// the decision. A crash is passed on at once.
+void Worker::passObservations()
+{
+    if (this->observations.empty() || !this->options.observe)
+        return;
+    const bool urgent = std::holds_alternative<request::CrashObserved>(this->observations.back());
+    if (urgent || this->observations.size() >= largestBatch) {
+        this->options.observe(std::exchange(this->observations, {}));
+        return;
+    }
+    if (this->observationTimer.expiry() > steadyNow())
+        return;
+    this->observationTimer.expires_after(observationDelay);
+    this->observationTimer.async_wait([this](error_code error) {
+        if (!error && !this->observations.empty())
+            this->options.observe(std::exchange(this->observations, {}));
+    });
 }
 
 void Worker::end(core::RequestId request)
--- a/src/wire/worker.h
+++ b/src/wire/worker.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "lookup/pipeline.h"
+#include "lookup/issue_key.h"
 #include "request/engine.h"
 #include "wire/asio.h"
 #include "wire/exchange.h"
@@ -8,7 +8,6 @@
 #include "wire/pool.h"
 #include "wire/traffic_metrics.h"
 
-#include <atomic>
 #include <functional>
 #include <thread>
 #include <unordered_map>
@@ -18,7 +17,7 @@
 using TrafficEngine = request::Engine<request::RoundRobin>;
 
 // One traffic thread: its io_context, its part of the caller connections, its request engine.
-// Everything but `post`, `setTable` and `stop` is called on that thread only.
+// Everything but `post`, `setTable` and `executor` is called on that thread only.
 class Worker {
 public:
     struct Options {
@@ -26,6 +25,8 @@
         std::uint64_t seed = 0;
         Limits limits;
         TrafficEngine::Options engine;
+        request::Shared shared; // the same for all workers of a process
+        std::function<void(request::Observations)> observe; // called on the worker's thread, in batches
         Pool::Options pool;
     };
 
@@ -40,9 +41,9 @@
 
     void start();
 
-    // Closes the listening socket and returns once no request is in flight or the time is over.
-    // Call from another thread; blocks it.
-    void stop(core::Duration limit);
+    // Closes the listening socket and completes once no request is in flight or the time is over.
+    // Spawn it on this worker's executor.
+    Task<void> drain(core::Duration limit);
 
     // Uses this table from the next event on. Safe from any thread.
     void setTable(core::SteeringTablePointer);
@@ -59,7 +60,7 @@
     const core::SteeringTablePointer& table() const { return this->currentTable; }
     Pool& connections() { return this->pool; }
     TrafficMetrics& metrics() { return this->trafficMetrics; }
-    lookup::LookupPipe& lookupPipe() { return this->lookups; }
+    lookup::KeyedLookupPipe& lookupPipe() { return this->lookups; }
     bool stopping() const { return this->closing; }
 
     core::RequestId nextRequestId();
@@ -84,18 +85,21 @@
     void execute(const request::Reject&);
     void execute(const request::WaitUntil&);
     std::shared_ptr<Attempt> findAttempt(core::RequestId, core::AttemptId);
+    void passObservations();
 
     Options options;
     std::unique_ptr<asio::io_context> context = std::make_unique<asio::io_context>(1);
     asio::executor_work_guard<Executor> work;
     core::SteeringTablePointer currentTable;
     TrafficEngine engine;
-    lookup::LookupPipe lookups;
+    lookup::KeyedLookupPipe lookups;
     Pool pool;
     TrafficMetrics trafficMetrics;
     std::unordered_map<core::RequestId, std::shared_ptr<Exchange>> exchanges;
     std::shared_ptr<Acceptor> acceptor;
-    std::unique_ptr<Timer> drainTimer; // set while `stop` waits for the requests in flight
+    std::unique_ptr<Timer> drainTimer; // set while `drain` waits for the requests in flight
+    request::Observations observations; // not yet passed to control
+    Timer observationTimer;
     std::uint64_t lastRequest = 0;
     std::size_t connectionCount = 0;
     bool closing = false;
