--- a/src/lookup/blocks.cpp
+++ b/src/lookup/blocks.cpp
@@ -3,6 +3,7 @@
 #include "core/errors.h"
 
 #include <algorithm>
+#include <bit>
 #include <string_view>
 #include <unordered_map>
 
@@ -10,8 +11,8 @@
 
 namespace {
 
-    constexpr unsigned bucketShift = 16;
-    constexpr std::size_t bucketCount = std::size_t { 1 } << bucketShift;
+    constexpr std::size_t rangesPerBucket = 8;
+    constexpr unsigned mostBucketBits = 20; // 4 MB
 
     // A block whose range is still open while the sweep is inside it.
     struct OpenBlock {
@@ -82,10 +83,13 @@
 
 void BlockTable::buildIndex()
 {
+    const unsigned bits = std::clamp(static_cast<unsigned>(std::bit_width(this->starts.size() / rangesPerBucket)), 1U, mostBucketBits);
+    const std::size_t bucketCount = std::size_t { 1 } << bits;
+    this->bucketShift = 32 - bits;
     this->buckets.resize(bucketCount + 1);
     std::size_t range = 0;
     for (std::size_t bucket = 0; bucket < bucketCount; ++bucket) {
-        while (range < this->starts.size() && this->starts[range] < (bucket << bucketShift))
+        while (range < this->starts.size() && this->starts[range] < (bucket << this->bucketShift))
             ++range;
         this->buckets[bucket] = static_cast<std::uint32_t>(range);
     }
@@ -97,7 +101,7 @@
     if (this->starts.empty())
         return unknownSite;
     const auto address = static_cast<std::uint32_t>(caller);
-    const std::size_t bucket = address >> bucketShift;
+    const std::size_t bucket = address >> this->bucketShift;
     const auto first = this->starts.begin() + this->buckets[bucket];
     const auto last = this->starts.begin() + this->buckets[bucket + 1];
     const auto after = std::upper_bound(first, last, address);
--- a/src/lookup/blocks.h
+++ b/src/lookup/blocks.h
@@ -19,8 +19,8 @@
 // Maps a caller's address to a site. Blocks may nest; the longest prefix wins.
 //
 // The blocks become a sorted array of range starts with one byte for the site of each. An index over the
-// upper 16 address bits leaves a binary search of a few steps. A built table never changes; a new one
-// replaces it by a pointer in the steering table.
+// upper address bits, sized for about eight ranges a bucket, leaves a search within one or two cache lines.
+// A built table never changes; a new one replaces it by a pointer in the steering table.
 class BlockTable {
 public:
     static constexpr std::uint8_t unknownSite = 255;
@@ -41,7 +41,8 @@
 
     std::vector<std::uint32_t> starts; // of each range, ascending; the first is 0
     std::vector<std::uint8_t> sites; // of each range
-    std::vector<std::uint32_t> buckets; // by upper 16 bits: the first range that starts at or after them
+    std::vector<std::uint32_t> buckets; // by upper address bits: the first range that starts at or after them
+    unsigned bucketShift = 31; // lower address bits that the index leaves out
 };
 
 // Builds the table from typed declarations. Throws Error(BadDeclaration) for an undeclared site, for more than
--- a/src/lookup/rank.cpp
+++ b/src/lookup/rank.cpp
@@ -28,13 +28,12 @@
     public:
         void offer(std::uint64_t score, const SiteRanks::Candidate& candidate)
         {
-            Best entry { .score = score, .candidate = &candidate };
-            for (Best& place : this->places) {
-                if (!place.candidate || entry.score > place.score)
-                    std::swap(place, entry);
-                if (!entry.candidate)
-                    return;
-            }
+            if (score <= this->places.back().score)
+                return;
+            std::size_t position = this->places.size() - 1;
+            for (; position > 0 && this->places[position - 1].score < score; --position)
+                this->places[position] = this->places[position - 1];
+            this->places[position] = { .score = score, .candidate = &candidate };
         }
         const std::array<Best, RankedMembers::limit>& best() const { return this->places; }
 
@@ -49,8 +48,9 @@
 
         void offer(const SiteRanks::Candidate& candidate, bool anyDomain)
         {
+            const core::MemberIndex member { candidate.member };
             const auto end = this->ranked.members.begin() + this->ranked.count;
-            if (this->full() || std::find(this->ranked.members.begin(), end, candidate.member) != end)
+            if (this->full() || std::find(this->ranked.members.begin(), end, member) != end)
                 return;
             if (this->ranked.count == 0)
                 this->firstDomain = candidate.domain;
@@ -58,14 +58,14 @@
             if (last && !anyDomain && !this->otherDomain && candidate.domain == this->firstDomain)
                 return;
             this->otherDomain |= candidate.domain != this->firstDomain;
-            this->ranked.members[this->ranked.count++] = candidate.member;
+            this->ranked.members[this->ranked.count++] = member;
         }
 
         const RankedMembers& result() const { return this->ranked; }
 
     private:
         RankedMembers ranked;
-        std::uint16_t firstDomain = 0;
+        std::uint8_t firstDomain = 0;
         bool otherDomain = false;
     };
 
@@ -74,12 +74,12 @@
     {
         std::size_t position = 0;
         while (position < candidates.size() && !selection.full()) {
-            const std::uint16_t tier = candidates[position].tier;
+            const std::uint8_t tier = candidates[position].tier;
             Top top;
             for (; position < candidates.size() && candidates[position].tier == tier; ++position) {
                 const SiteRanks::Candidate& candidate = candidates[position];
                 const std::uint64_t score = mix(candidate.key ^ callerHash);
-                if (acceptAll || static_cast<std::uint32_t>(score) <= candidate.accepted)
+                if (acceptAll || static_cast<std::uint16_t>(score) <= candidate.accepted)
                     top.offer(score, candidate);
             }
             for (const Best& place : top.best()) {
@@ -121,9 +121,10 @@
     constexpr double fullLoad = 0.85; // above it a member passes callers on to the next tier
     constexpr double leastShare = 0.1; // keeps some callers, so that the load of the member stays known
 
-    // A site's nearest failure domain has about 35 members in two years. More than this many candidates a tier
-    // would cost look-up time and change nothing.
-    constexpr std::size_t tierLimit = 40;
+    // A site's nearest failure domain has about 35 members in two years, and all of them share its callers. The
+    // further tiers are second choices, where each candidate more only costs look-up time.
+    constexpr std::size_t nearestTierLimit = 40;
+    constexpr std::size_t otherTierLimit = 8;
     constexpr std::size_t siteLimit = 64; // candidates of one site
 
     bool serving(const core::MemberEntry& member)
@@ -179,7 +180,7 @@
                 continue;
             // A suspected member takes no caller while another one is there.
             const double share = member.state == core::MemberState::Suspect ? 0 : shares[i];
-            byDomain[member.domain.value].push_back({ .key = core::hashBytes(member.name), .member = core::MemberIndex { i }, .accepted = static_cast<std::uint32_t>(share * UINT32_MAX), .tier = 0, .domain = static_cast<std::uint16_t>(member.domain.value) });
+            byDomain[member.domain.value].push_back({ .key = core::hashBytes(member.name), .member = static_cast<std::uint16_t>(i), .accepted = static_cast<std::uint16_t>(share * UINT16_MAX), .tier = 0, .domain = static_cast<std::uint8_t>(member.domain.value) });
         }
         return byDomain;
     }
@@ -189,12 +190,13 @@
         std::vector<core::SiteRanks::Candidate> list;
         for (std::size_t tier = 0; tier < order.size() && list.size() < siteLimit; ++tier) {
             std::vector<core::SiteRanks::Candidate> candidates = byDomain[order[tier]];
-            if (candidates.size() > tierLimit) {
+            const std::size_t limit = list.empty() ? nearestTierLimit : otherTierLimit;
+            if (candidates.size() > limit) {
                 std::ranges::sort(candidates, std::greater<>(), [&](const core::SiteRanks::Candidate& candidate) { return core::hashCombine(siteKey, candidate.key); });
-                candidates.resize(tierLimit);
+                candidates.resize(limit);
             }
             for (core::SiteRanks::Candidate& candidate : candidates) {
-                candidate.tier = static_cast<std::uint16_t>(tier);
+                candidate.tier = static_cast<std::uint8_t>(tier);
                 list.push_back(candidate);
             }
         }
--- a/src/lookup/rank.h
+++ b/src/lookup/rank.h
@@ -31,10 +31,10 @@
     // A member as a candidate of one site.
     struct Candidate {
         std::uint64_t key = 0; // hash of the name
-        MemberIndex member;
-        std::uint32_t accepted = UINT32_MAX; // share of callers that use it, of UINT32_MAX
-        std::uint16_t tier = 0;
-        std::uint16_t domain = 0;
+        std::uint16_t member = 0; // MemberIndex; small, so that four candidates fill a cache line
+        std::uint16_t accepted = UINT16_MAX; // share of callers that use it, of UINT16_MAX
+        std::uint8_t tier = 0;
+        std::uint8_t domain = 0;
     };
 
     explicit SiteRanks(std::vector<std::vector<Candidate>> candidatesBySite)
