--- a/src/control/publish.cpp
+++ b/src/control/publish.cpp
@@ -4,7 +4,6 @@
 #include "lookup/blocks.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace cranberryshed::control {
 
@@ -19,11 +18,6 @@
         return static_cast<std::uint32_t>(found - entries.begin());
     }
 
-    bool allows(const core::TargetDeclaration* target, const std::string& region)
-    {
-        return !target || target->allowedRegions.empty() || std::ranges::find(target->allowedRegions, region) != target->allowedRegions.end();
-    }
-
 }
 
 core::Outcome<Published, Halt> Publish::operator()(Context context, core::TimePoint now)
@@ -39,7 +33,7 @@
     this->addLookup(*table, context, now);
     for (const core::Fingerprint fingerprint : context.sources.quarantined)
         table->quarantined.insert(static_cast<std::uint64_t>(fingerprint));
-    return core::Outcome<Published, Halt>::pass({ .table = std::move(table), .drains = std::move(context.drains), .warnings = std::move(context.warnings) });
+    return core::Outcome<Published, Halt>::pass({ .table = std::move(table), .drains = std::move(context.drains), .warnings = std::move(context.warnings), .leavingServers = std::move(context.leavingServers) });
 }
 
 void Publish::addPlaces(core::SteeringTable& table, const Context& context) const
@@ -78,20 +72,12 @@
         const core::ClassDeclaration& declaration = declarations.classes[i];
         const auto found = std::ranges::find(declarations.targets, declaration.name, &core::TargetDeclaration::className);
         const core::TargetDeclaration* target = found == declarations.targets.end() ? nullptr : &*found;
-        core::ClassEntry entry { .name = declaration.name, .host = declaration.host, .methods = declaration.methods, .pathPrefix = declaration.pathPrefix, .service = declaration.service, .repeat = declaration.repeat, .length = declaration.length, .deadline = declaration.deadline, .targetLatency = target ? target->latency : core::Duration {}, .headroom = target ? target->headroom : 0, .servers = {}, .regionShares = {}, .regionLimits = {} };
+        core::ClassEntry entry { .name = declaration.name, .host = declaration.host, .methods = declaration.methods, .pathPrefix = declaration.pathPrefix, .service = declaration.service, .repeat = declaration.repeat, .length = declaration.length, .deadline = declaration.deadline, .targetLatency = target ? target->latency : core::Duration {}, .headroom = target ? target->headroom : 0, .servers = {}, .regionShares = context.regionShares[i], .regionLimits = context.regionLimits[i] };
         for (std::uint32_t server = 0; server < table.servers.size(); ++server) {
             const core::ServerEntry& candidate = table.servers[server];
-            if (candidate.service == declaration.service && allows(target, table.at(candidate.region).name))
+            if (candidate.service == declaration.service && context.admitted[i][candidate.region.value] > 0)
                 entry.servers.push_back(core::ServerIndex { server });
         }
-        if (i < context.regionShares.size()) {
-            entry.regionShares = context.regionShares[i];
-            entry.regionLimits = context.regionLimits[i];
-        } else {
-            entry.regionShares.assign(table.regions.size(), 0);
-            entry.regionShares[context.selfRegion.value] = 1;
-            entry.regionLimits.assign(table.regions.size(), std::numeric_limits<double>::infinity());
-        }
         table.classes.push_back(std::move(entry));
     }
 }
--- /dev/null
+++ b/src/control/regions.cpp
@@ -0,0 +1,251 @@
+#include "control/regions.h"
+
+#include "control/judge.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace cranberryshed::control {
+
+namespace {
+
+    // Part of the spare slots that a spill-over may use. The rest is for the error of figures that are seconds old.
+    constexpr double spareUse = 0.9;
+    // Spare to assume in a region without known figures, as a share of its slots. With the division by entry VMs
+    // the sum stays below it even if all regions spill over there.
+    constexpr double unknownSpare = 0.05;
+    constexpr double unknownBytes = 16384; // of an answer whose class states none
+    constexpr double requestBytes = 1024;
+    // Slots of a class without any demand, so that its first requests have a place.
+    constexpr double leastSlots = 1e-6;
+
+    // The regions that a class may use from an origin, nearest first.
+    std::vector<std::size_t> targetsOf(const RegionInput& input, const RegionInput::Class& item, std::size_t origin)
+    {
+        std::vector<std::size_t> targets;
+        for (std::size_t region = 0; region < input.delay.size(); ++region) {
+            const core::Duration delay = input.delay[origin][region];
+            const bool reachable = delay >= core::Duration(0) && input.linkMbit[origin][region] > 0;
+            // An answer that cannot return before the deadline is wasted work.
+            const bool inTime = item.deadline <= core::Duration(0) || 2 * delay < item.deadline;
+            if (region != origin && reachable && inTime && item.admitted[region] > 0)
+                targets.push_back(region);
+        }
+        std::ranges::stable_sort(targets, {}, [&](std::size_t region) { return input.delay[origin][region]; });
+        return targets;
+    }
+
+    // Everything about one service while its plan is made.
+    struct ServicePlan {
+        std::vector<std::size_t> classes;
+        std::vector<std::vector<double>> slots; // needed, by position in classes, by region
+        std::vector<std::vector<double>> left; // without a place yet
+        std::vector<std::vector<std::vector<double>>> placed; // by position, origin, target
+        std::vector<double> spare; // by region
+        std::vector<double> overflow; // by region
+        std::vector<double> trust; // by region
+    };
+
+    ServicePlan startPlan(const RegionInput& input, const std::string& service)
+    {
+        const std::size_t regions = input.members.size();
+        const RegionInput::Service& supply = input.services.at(service);
+        ServicePlan plan;
+        plan.trust.assign(regions, 1);
+        for (std::size_t i = 0; i < input.classes.size(); ++i) {
+            if (input.classes[i].service == service)
+                plan.classes.push_back(i);
+        }
+        plan.spare.assign(regions, 0);
+        plan.overflow.assign(regions, 0);
+        plan.slots.assign(plan.classes.size(), std::vector<double>(regions, 0));
+        plan.left = plan.slots;
+        plan.placed.assign(plan.classes.size(), std::vector<std::vector<double>>(regions, std::vector<double>(regions, 0)));
+        for (std::size_t region = 0; region < regions; ++region) {
+            double local = 0; // that may stay in the region
+            for (std::size_t position = 0; position < plan.classes.size(); ++position) {
+                const RegionInput::Class& item = input.classes[plan.classes[position]];
+                plan.slots[position][region] = std::max(item.demand[region].slots, leastSlots);
+                plan.trust[region] = std::min(plan.trust[region], item.demand[region].trust);
+                local += plan.slots[position][region] * item.admitted[region];
+            }
+            const double usable = supply.slots[region];
+            const double kept = local > usable ? usable / local : 1;
+            for (std::size_t position = 0; position < plan.classes.size(); ++position) {
+                const double admitted = input.classes[plan.classes[position]].admitted[region];
+                plan.left[position][region] = plan.slots[position][region] * (1 - admitted * kept);
+                plan.overflow[region] += plan.left[position][region];
+            }
+            const double known = std::max(0.0, usable - local) * spareUse;
+            const double assumed = std::min(known, unknownSpare * supply.slotsAll[region]);
+            plan.spare[region] = plan.trust[region] * known + (1 - plan.trust[region]) * assumed;
+        }
+        return plan;
+    }
+
+    // The slots of `target` that each origin may take. Sums to at most its spare.
+    std::vector<double> divideSpare(const RegionInput& input, const ServicePlan& plan, std::size_t target)
+    {
+        const std::size_t regions = input.members.size();
+        double members = 0;
+        for (std::size_t origin = 0; origin < regions; ++origin)
+            members += origin == target ? 0 : input.members[origin];
+        std::vector<double> room(regions, 0);
+        if (members <= 0)
+            return room;
+        double unused = 0;
+        double excess = 0;
+        for (std::size_t origin = 0; origin < regions; ++origin) {
+            if (origin == target)
+                continue;
+            room[origin] = plan.spare[target] * input.members[origin] / members;
+            unused += std::max(0.0, room[origin] - plan.overflow[origin]) * plan.trust[origin];
+            excess += std::max(0.0, plan.overflow[origin] - room[origin]);
+        }
+        if (excess <= 0)
+            return room;
+        for (std::size_t origin = 0; origin < regions; ++origin) {
+            const double more = std::max(0.0, plan.overflow[origin] - room[origin]);
+            // What an origin does not need itself is lent out, so it keeps only its need and the unlent part.
+            const double lent = std::max(0.0, room[origin] - plan.overflow[origin]) * plan.trust[origin] * std::min(1.0, excess / std::max(unused, 1e-12));
+            room[origin] += std::min(unused, excess) * more / excess - lent;
+        }
+        return room;
+    }
+
+    // What is left of a class, as far as its targets admit it in the region.
+    double wantedOf(const RegionInput::Class& item, const ServicePlan& plan, std::size_t position, std::size_t origin, std::size_t target)
+    {
+        return std::min(plan.left[position][origin], plan.slots[position][origin] * item.admitted[target]);
+    }
+
+    // Services with small answers first: a link that is nearly full carries many of them for one large one.
+    std::vector<std::string> serviceOrder(const RegionInput& input)
+    {
+        std::map<std::string, double> largest;
+        for (const RegionInput::Class& item : input.classes)
+            largest[item.service] = std::max(largest[item.service], item.bytes > 0 ? item.bytes : unknownBytes);
+        std::vector<std::string> order;
+        for (const auto& [service, bytes] : largest)
+            order.push_back(service);
+        std::ranges::stable_sort(order, {}, [&](const std::string& service) { return largest.at(service); });
+        return order;
+    }
+
+    // Grants the wants of one service at one target for each origin, within the room.
+    void grant(const RegionInput& input, ServicePlan& plan, std::vector<std::vector<double>>& room, std::vector<std::vector<double>>& link, std::size_t choice)
+    {
+        const std::size_t regions = input.members.size();
+        for (std::size_t origin = 0; origin < regions; ++origin) {
+            for (std::size_t target = 0; target < regions; ++target) {
+                double wanted = 0;
+                double mbit = 0;
+                std::vector<std::size_t> takers;
+                for (std::size_t position = 0; position < plan.classes.size(); ++position) {
+                    const RegionInput::Class& item = input.classes[plan.classes[position]];
+                    const std::vector<std::size_t> targets = targetsOf(input, item, origin);
+                    if (choice >= targets.size() || targets[choice] != target || plan.left[position][origin] <= 0)
+                        continue;
+                    const double slots = wantedOf(item, plan, position, origin, target);
+                    takers.push_back(position);
+                    wanted += slots;
+                    mbit += linkLoadOf(item, item.demand[origin].rate * slots / plan.slots[position][origin]);
+                }
+                if (takers.empty())
+                    continue;
+                const double byRoom = std::min(1.0, room[origin][target] / wanted);
+                const double byLink = mbit > 0 ? std::min(1.0, link[origin][target] / mbit) : 1;
+                const double part = std::min(byRoom, byLink);
+                for (const std::size_t position : takers) {
+                    const double slots = wantedOf(input.classes[plan.classes[position]], plan, position, origin, target) * part;
+                    plan.placed[position][origin][target] += slots;
+                    plan.left[position][origin] -= slots;
+                }
+                room[origin][target] -= wanted * part;
+                link[origin][target] -= mbit * part;
+            }
+        }
+    }
+
+}
+
+RegionPlan planRegions(const RegionInput& input)
+{
+    const std::size_t regions = input.members.size();
+    RegionPlan result;
+    result.shares.assign(input.classes.size(), std::vector<std::vector<double>>(regions, std::vector<double>(regions, 0)));
+    std::vector<std::vector<double>> link = input.linkMbit;
+    for (std::vector<double>& row : link) {
+        for (double& mbit : row)
+            mbit *= spillLinkUse;
+    }
+    for (const std::string& service : serviceOrder(input)) {
+        ServicePlan plan = startPlan(input, service);
+        std::vector<std::vector<double>> room(regions, std::vector<double>(regions, 0));
+        for (std::size_t target = 0; target < regions; ++target) {
+            const std::vector<double> division = divideSpare(input, plan, target);
+            for (std::size_t origin = 0; origin < regions; ++origin)
+                room[origin][target] = division[origin];
+        }
+        result.room.emplace(service, room);
+        for (std::size_t choice = 0; choice + 1 < regions; ++choice)
+            grant(input, plan, room, link, choice);
+        for (std::size_t position = 0; position < plan.classes.size(); ++position) {
+            for (std::size_t origin = 0; origin < regions; ++origin) {
+                std::vector<double>& shares = result.shares[plan.classes[position]][origin];
+                for (std::size_t target = 0; target < regions; ++target)
+                    shares[target] = plan.placed[position][origin][target] / plan.slots[position][origin];
+                shares[origin] = std::max(0.0, 1 - std::accumulate(shares.begin(), shares.end(), 0.0));
+            }
+        }
+    }
+    return result;
+}
+
+double linkLoadOf(const RegionInput::Class& item, double rate)
+{
+    return rate * ((item.bytes > 0 ? item.bytes : unknownBytes) + requestBytes) * 8 / 1e6;
+}
+
+RegionInput regionInputOf(const Context& context)
+{
+    const core::Declarations& declarations = context.declarations();
+    const std::size_t regions = declarations.regions.size();
+    RegionInput input;
+    for (std::size_t i = 0; i < declarations.classes.size(); ++i) {
+        const core::ClassDeclaration& declaration = declarations.classes[i];
+        input.classes.push_back({ .service = declaration.service, .demand = context.demand[i], .admitted = context.admitted[i], .deadline = declaration.deadline, .bytes = static_cast<double>(declaration.typicalBytes) });
+        RegionInput::Service& service = input.services[declaration.service];
+        if (!service.slots.empty())
+            continue;
+        service.headroom = headroomOf(declarations, declaration.service);
+        for (const ServiceLoad& load : context.services.at(declaration.service)) {
+            service.slots.push_back(load.slots * (1 - service.headroom));
+            service.slotsAll.push_back(load.slotsAll);
+        }
+    }
+    input.delay.assign(regions, std::vector<core::Duration>(regions, core::Duration(-1)));
+    input.linkMbit.assign(regions, std::vector<double>(regions, 0));
+    for (std::size_t from = 0; from < regions; ++from) {
+        for (const core::LinkDeclaration& link : declarations.regions[from].links) {
+            const auto to = std::ranges::find(declarations.regions, link.toRegion, &core::RegionDeclaration::name);
+            if (to == declarations.regions.end())
+                continue;
+            const auto toIndex = static_cast<std::size_t>(to - declarations.regions.begin());
+            input.delay[from][toIndex] = link.oneWayDelay;
+            input.linkMbit[from][toIndex] = link.capacityMbit;
+        }
+    }
+    input.members.assign(regions, 0);
+    for (const MemberSource& member : context.sources.members) {
+        const auto domain = std::ranges::find(declarations.domains, member.domain, &core::DomainDeclaration::name);
+        if (domain == declarations.domains.end() || (member.state != core::MemberState::Alive && member.state != core::MemberState::Suspect))
+            continue;
+        const auto region = std::ranges::find(declarations.regions, domain->region, &core::RegionDeclaration::name);
+        if (region != declarations.regions.end())
+            ++input.members[static_cast<std::size_t>(region - declarations.regions.begin())];
+    }
+    return input;
+}
+
+}
--- a/src/control/sources.h
+++ b/src/control/sources.h
@@ -61,6 +61,7 @@
     std::vector<core::DomainDigest> digests {};
     std::vector<MemberSource> members {};
     std::vector<core::Fingerprint> quarantined {};
+    std::vector<std::string> leavingServers {}; // names that other entry VMs saw leaving
     std::string self {}; // name of this VM
     std::string selfDomain {};
     bool leaving = false; // this VM is shutting down
@@ -78,29 +79,28 @@
     std::optional<core::LoadReport> report {};
 };
 
-// A figure that is only as good as its age. Beyond the age limit it says nothing.
-struct Figure {
-    double value = 0;
-    double trust = 0; // 1: fresh, falls to 0: unknown
-};
-
-// Demand of one class at the entry VMs of one region, in requests per second.
+// The need of one class at the entry VMs of one region.
 struct ClassDemand {
-    Figure rate {};
-    double meanSeconds = 0; // that a request holds a slot
+    double rate = 0; // requests that arrive per second
+    double slots = 0; // that they take: rate times the mean time of a request
+    double trust = 0; // 1: fresh figures; falls with their age to 0: unknown
 };
 
-// What one region can do for a service and what its own callers need, in slots.
-struct RegionLoad {
-    double slots = 0; // that may get new work, warming servers in part
-    double batchSlots = 0; // all slots of its servers, whatever their state
+// What the servers of one service in one region can take.
+struct ServiceLoad {
+    double slots = 0; // that may get new work, warming and draining servers in part
+    double slotsAll = 0; // of all its servers that are not leaving, ejected or not
+    double need = 0; // slots that the callers of the region need, all classes of the service
+    double trust = 0; // of the need
 };
 
-enum class DrainState : std::uint8_t { Planned,
+enum class DrainState : std::uint8_t {
+    Planned, // The drain starts later.
     Draining,
-    Drained,
-    Late,
-    Blocked };
+    Drained, // No new work goes to the batch.
+    Late, // The cap does not allow to finish before the longest work would pass the contract end.
+    Blocked, // The other servers have no room for the batch's traffic.
+};
 
 struct DrainStatus {
     std::string batch {};
@@ -117,10 +117,13 @@
     core::DomainIndex selfDomain {};
     std::vector<Server> servers {};
     std::vector<std::vector<ClassDemand>> demand {}; // by class, by region
+    std::map<std::string, std::vector<ServiceLoad>> services {}; // by name, by region
+    std::vector<std::vector<double>> admitted {}; // by class, by region: share that the class may have there, 0 to 1
     std::vector<std::vector<double>> regionShares {}; // by class, by region
     std::vector<std::vector<double>> regionLimits {}; // by class, by region
     std::vector<DrainStatus> drains {};
     std::vector<std::string> warnings {}; // for logs and the status object
+    std::vector<std::string> leavingServers {}; // by this VM's own sources
 
     const core::Declarations& declarations() const { return *this->sources.declarations; }
 };
@@ -130,6 +133,7 @@
     core::SteeringTablePointer table {};
     std::vector<DrainStatus> drains {};
     std::vector<std::string> warnings {};
+    std::vector<std::string> leavingServers {}; // leaving by this VM's own sources, for the other entry VMs
 };
 
 // Why a run publishes no table. The last one stays in force.
--- a/tests/pure/control.cpp
+++ b/tests/pure/control.cpp
@@ -29,7 +29,7 @@
 // Guards against a table that refers to servers or members it does not hold.
 TEST_CASE("one run makes a valid table", "[control]")
 {
-    control::ControlPipe pipe { {}, {}, {} };
+    control::ControlPipe pipe = control::makeControlPipe();
     const auto outcome = pipe(smallSources(), core::TimePoint {});
     REQUIRE_FALSE(outcome.ended());
     const core::SteeringTable& table = *outcome.output().table;
@@ -45,7 +45,7 @@
 // Guards against a new table that forgets requests in flight and lets a server be filled twice.
 TEST_CASE("slot counts outlive a table", "[control]")
 {
-    control::ControlPipe pipe { {}, {}, {} };
+    control::ControlPipe pipe = control::makeControlPipe();
     auto first = pipe(smallSources(), core::TimePoint {});
     REQUIRE(first.output().table->servers[0].inFlight->tryAcquire(3));
     auto second = pipe(smallSources(), core::TimePoint {});
--- /dev/null
+++ b/tests/pure/regions.cpp
@@ -0,0 +1,190 @@
+#include "support/steering_model.h"
+
+#include <catch2/catch.hpp>
+
+namespace core = cranberryshed::core;
+namespace control = cranberryshed::control;
+namespace testing = cranberryshed::testing;
+
+namespace {
+
+// The naive reference: every region keeps all its traffic.
+std::vector<double> allToNearest(std::size_t own, std::size_t regions)
+{
+    std::vector<double> shares(regions, 0);
+    shares[own] = 1;
+    return shares;
+}
+
+// How far the busiest region with foreign traffic is over all its slots; at most 0 if none is overloaded.
+double worstOverload(const testing::SteeringModel& model)
+{
+    double worst = -1;
+    for (const auto& service : model.size.services) {
+        for (std::size_t region = 0; region < 3; ++region) {
+            if (model.load(service.name, region, true) > 1e-6)
+                worst = std::max(worst, model.load(service.name, region) / model.slots(service.name, region) - 1);
+        }
+    }
+    return worst;
+}
+
+double rejectedSlots(const testing::SteeringModel& model, const std::string& service)
+{
+    double rejected = 0;
+    for (std::size_t region = 0; region < 3; ++region)
+        rejected += std::max(0.0, model.load(service, region) - model.slots(service, region));
+    return rejected;
+}
+
+}
+
+// Guards against traffic that leaves its region although the region has room.
+TEST_CASE("without overload the plan equals all to nearest", "[regions]")
+{
+    for (const testing::ModelSize& size : { testing::foundry(), testing::schools() }) {
+        testing::SteeringModel model(size, { .noise = 0.05 }, 7);
+        for (const auto& service : size.services) {
+            for (std::size_t region = 0; region < 3; ++region)
+                model.setNeed(service.name, region, 0.6 * model.slots(service.name, region));
+        }
+        for (int second = 0; second < 30; ++second)
+            model.step();
+        for (std::size_t member = 0; member < model.memberCount(); ++member) {
+            for (const core::ClassEntry& entry : model.published(member).table->classes)
+                CHECK(entry.regionShares == allToNearest(model.regionOf(member), 3));
+        }
+    }
+}
+
+// Guards against rejected work while another region has room.
+TEST_CASE("a region over its headroom spills over to those with room", "[regions]")
+{
+    testing::SteeringModel model(testing::schools(), {}, 3);
+    for (std::size_t region = 0; region < 3; ++region)
+        model.setNeed("repo-core", region, 0.3 * model.slots("repo-core", region));
+    model.setNeed("repo-core", 0, 1.4 * model.slots("repo-core", 0));
+    const double naive = 0.4 * model.slots("repo-core", 0);
+    for (int second = 0; second < 30; ++second)
+        model.step();
+    CHECK(rejectedSlots(model, "repo-core") < 0.05 * naive);
+    CHECK(worstOverload(model) <= 0);
+}
+
+// Guards against two regions that each fill the whole room of a third, and against views that differ.
+TEST_CASE("no region is overloaded by a decision with lost, late and doubled digests", "[regions]")
+{
+    for (const testing::ModelSize& size : { testing::foundry(), testing::schools() }) {
+        for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+            testing::SteeringModel model(size, { .lost = 0.3, .doubled = 0.2, .latestSeconds = 4, .noise = 0.05 }, seed);
+            core::RandomEngine random(seed);
+            std::map<std::string, std::array<double, 3>> level;
+            std::map<std::string, std::array<double, 3>> goal;
+            double worst = -1;
+            for (int second = 0; second < 240; ++second) {
+                for (const auto& service : size.services) {
+                    for (std::size_t region = 0; region < 3; ++region) {
+                        if (second % 40 == 0)
+                            goal[service.name][region] = 0.2 + 1.3 * std::uniform_real_distribution<double>(0, 1)(random);
+                        double& now = level[service.name][region];
+                        now += std::clamp(goal[service.name][region] - now, -0.04, 0.04);
+                        model.setNeed(service.name, region, now * model.slots(service.name, region));
+                    }
+                }
+                model.muted = second > 100 && second < 130;
+                model.step();
+                for (const auto& service : size.services) {
+                    for (std::size_t region = 0; region < 3; ++region) {
+                        // A region whose own callers exceed its slots is not overloaded by a decision.
+                        if (model.need(service.name, region) < 0.95 * model.slots(service.name, region) && model.load(service.name, region, true) > 1e-6)
+                            worst = std::max(worst, model.load(service.name, region) / model.slots(service.name, region) - 1);
+                    }
+                }
+                for (std::size_t from = 0; from < 3; ++from) {
+                    for (std::size_t to = 0; to < 3; ++to)
+                        CHECK((from == to || model.linkLoad(from, to) <= size.linkMbit));
+                }
+            }
+            INFO(size.name << " seed " << seed);
+            CHECK(worst <= 0);
+        }
+    }
+}
+
+// Guards against a spill-over that goes on at its old size while nothing is known about the other regions.
+TEST_CASE("the spill-over shrinks to a safe share as figures age", "[regions]")
+{
+    testing::SteeringModel model(testing::schools(), {}, 5);
+    for (std::size_t region = 0; region < 3; ++region)
+        model.setNeed("repo-core", region, 0.2 * model.slots("repo-core", region));
+    model.setNeed("repo-core", 0, 1.3 * model.slots("repo-core", 0));
+    for (int second = 0; second < 20; ++second)
+        model.step();
+    const double fresh = model.load("repo-core", 1, true) + model.load("repo-core", 2, true);
+    model.muted = true;
+    for (int second = 0; second < 40; ++second)
+        model.step();
+    for (std::size_t region : { 1U, 2U })
+        CHECK(model.load("repo-core", region, true) <= 0.05 * model.slots("repo-core", region) + 1e-9);
+    CHECK(fresh > 0.3 * model.slots("repo-core", 0));
+}
+
+// Guards against a plan that changes direction with the noise of the figures.
+TEST_CASE("shares do not swing under noise", "[regions]")
+{
+    testing::SteeringModel model(testing::foundry(), { .lost = 0.2, .latestSeconds = 3, .noise = 0.05 }, 11);
+    for (std::size_t region = 0; region < 3; ++region)
+        model.setNeed("ledger", region, 0.4 * model.slots("ledger", region));
+    model.setNeed("ledger", 0, 1.2 * model.slots("ledger", 0));
+    for (int second = 0; second < 20; ++second)
+        model.step();
+    double lowest = 1;
+    double highest = 0;
+    for (int second = 0; second < 120; ++second) {
+        model.step();
+        const double share = model.published(0).table->classes[0].regionShares[0];
+        lowest = std::min(lowest, share);
+        highest = std::max(highest, share);
+    }
+    CHECK(highest - lowest < 0.1);
+}
+
+// Guards against a failover that overloads the region that takes over, and against one that never comes.
+TEST_CASE("a region without servers fails over within the others' room", "[regions]")
+{
+    testing::SteeringModel model(testing::schools(), { .lost = 0.2, .latestSeconds = 2 }, 2);
+    for (std::size_t region = 0; region < 3; ++region)
+        model.setNeed("repo-core", region, 0.4 * model.slots("repo-core", region));
+    for (int second = 0; second < 10; ++second)
+        model.step();
+    for (core::ServerListing& server : model.list.servers)
+        server.leaving = server.leaving || server.domain.starts_with("r0-");
+    ++model.list.version;
+    double worst = -1;
+    for (int second = 0; second < 20; ++second) {
+        model.step();
+        worst = std::max(worst, worstOverload(model));
+    }
+    CHECK(worst <= 0);
+    CHECK(model.load("repo-core", 0) < 0.05 * model.need("repo-core", 0));
+}
+
+// Guards against a change of the allowed regions that moves a class's traffic at once.
+TEST_CASE("a change of allowed regions keeps the cap", "[regions]")
+{
+    testing::SteeringModel model(testing::schools(), {}, 4);
+    for (std::size_t region = 0; region < 3; ++region)
+        model.setNeed("repo-core", region, 0.3 * model.slots("repo-core", region));
+    for (int second = 0; second < 5; ++second)
+        model.step();
+    model.declarations.targets[0].allowedRegions = { "r1", "r2" };
+    ++model.declarations.revision;
+    std::vector<double> history;
+    for (int second = 0; second < 900; ++second) {
+        model.step();
+        history.push_back(model.published(0).table->classes[0].regionShares[0]);
+        if (history.size() > 60)
+            CHECK(history[history.size() - 61] - history.back() <= 0.1 + 1e-9);
+    }
+    CHECK(history.back() < 0.01);
+}
