--- a/bench/decisions/bench.h
+++ b/bench/decisions/bench.h
@@ -43,6 +43,8 @@
 using Benchmark = void (*)(Report&, std::uint64_t seed);
 
 void admission(Report&, std::uint64_t seed);
+void drain(Report&, std::uint64_t seed);
 void lookup(Report&, std::uint64_t seed);
+void regions(Report&, std::uint64_t seed);
 
 }
--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -16,7 +16,9 @@
 
 constexpr std::array rows = {
     Row { "admission", bench::admission },
+    Row { "drain", bench::drain },
     Row { "lookup", bench::lookup },
+    Row { "regions", bench::regions },
 };
 
 int usage()
--- /dev/null
+++ b/bench/decisions/regions.cpp
@@ -0,0 +1,141 @@
+#include "decisions/bench.h"
+#include "support/steering_model.h"
+
+#include <chrono>
+
+namespace cranberryshed::bench {
+
+namespace {
+
+    constexpr int seconds = 300;
+
+    enum class Policy { Ours,
+        AllToNearest,
+        Immediate };
+
+    struct Result {
+        double rejected = 0; // share of the needed slot time that exceeds the slots where it is sent
+        double worst = 0; // largest load of a region that gets foreign traffic, as a share of its slots
+        double overloadedSeconds = 0; // of regions with foreign traffic
+        double linkWorst = 0; // largest load of a link, as a share of its capacity
+        double swing = 0; // sum of the changes of the busiest region's own share, per minute
+        double tickUs = 0; // one run of one entry VM's pipeline
+    };
+
+    // The naive shares of one region: all that exceeds its slots goes at once to the nearest region with spare slots.
+    std::vector<double> immediate(const testing::SteeringModel& model, const std::string& service, std::size_t own)
+    {
+        std::vector<double> shares(3, 0);
+        const double need = model.need(service, own);
+        const double over = std::max(0.0, need - model.slots(service, own));
+        shares[own] = need > 0 ? 1 - over / need : 1;
+        for (std::size_t region = 0; region < 3 && over > 0; ++region) {
+            if (region != own && model.need(service, region) < model.slots(service, region)) {
+                shares[region] = over / need;
+                return shares;
+            }
+        }
+        shares[own] = 1;
+        return shares;
+    }
+
+    double loadOf(const testing::SteeringModel& model, Policy policy, const std::string& service, std::size_t region, bool foreignOnly)
+    {
+        if (policy == Policy::Ours)
+            return model.load(service, region, foreignOnly);
+        double sum = 0;
+        for (std::size_t own = 0; own < 3; ++own) {
+            if (foreignOnly && own == region)
+                continue;
+            const double share = policy == Policy::AllToNearest ? (own == region ? 1 : 0) : immediate(model, service, own)[region];
+            sum += share * model.need(service, own);
+        }
+        return sum;
+    }
+
+    // Two regions of three have peaks at overlapping times; the third is at 40 %. In `failover` the first region's
+    // servers are lost after 100 s instead.
+    void setLoad(testing::SteeringModel& model, int second, bool failover)
+    {
+        for (const testing::ModelService& service : model.size.services) {
+            const auto peak = [&](int from, double height) { return second < from || second > from + 120 ? 0.4 : 0.4 + height * std::min(1.0, (second - from) / 15.0); };
+            model.setNeed(service.name, 0, (failover ? 0.45 : peak(40, 0.85)) * 3 * service.servers / 3.0);
+            model.setNeed(service.name, 1, (failover ? 0.45 : peak(80, 0.85)) * 3 * service.servers / 3.0);
+            model.setNeed(service.name, 2, 0.4 * 3 * service.servers / 3.0);
+        }
+        if (failover && second == 100) {
+            for (core::ServerListing& server : model.list.servers)
+                server.leaving = server.leaving || server.domain.starts_with("r0-");
+            ++model.list.version;
+        }
+    }
+
+    Result run(const testing::ModelSize& size, Policy policy, const testing::DigestFaults& faults, bool failover, std::uint64_t seed)
+    {
+        testing::SteeringModel model(size, faults, seed);
+        Result result;
+        double needed = 0;
+        double over = 0;
+        double last = -1;
+        std::chrono::duration<double, std::micro> spent {};
+        for (int second = 0; second < seconds; ++second) {
+            setLoad(model, second, failover);
+            const auto start = std::chrono::steady_clock::now();
+            model.step();
+            spent += std::chrono::steady_clock::now() - start;
+            for (const testing::ModelService& service : size.services) {
+                for (std::size_t region = 0; region < 3; ++region) {
+                    const double load = loadOf(model, policy, service.name, region, false);
+                    const double slots = model.slots(service.name, region);
+                    needed += model.need(service.name, region);
+                    over += std::max(0.0, load - slots);
+                    if (loadOf(model, policy, service.name, region, true) <= 1e-6 || model.need(service.name, region) >= slots)
+                        continue;
+                    result.worst = std::max(result.worst, load / slots);
+                    result.overloadedSeconds += load > slots;
+                }
+            }
+            for (std::size_t from = 0; from < 3 && policy == Policy::Ours; ++from) {
+                for (std::size_t to = 0; to < 3; ++to)
+                    result.linkWorst = std::max(result.linkWorst, from == to ? 0 : model.linkLoad(from, to) / size.linkMbit);
+            }
+            const double share = policy == Policy::Ours ? model.published(0).table->classes[0].regionShares[0] : 0;
+            result.swing += last < 0 ? 0 : std::abs(share - last) * 60 / seconds;
+            last = share;
+        }
+        result.rejected = over / needed;
+        result.tickUs = spent.count() / seconds / size.membersInAll;
+        return result;
+    }
+
+    void add(Report& report, const std::string& name, Policy policy, const Result& result)
+    {
+        Line line { .bench = "regions", .name = name, .figures = { { "rejected", result.rejected }, { "worst_load", result.worst }, { "overloaded_s", result.overloadedSeconds } }, .target = {} };
+        if (policy == Policy::Ours) {
+            line.figures.push_back({ "link_worst", result.linkWorst });
+            line.figures.push_back({ "swing_per_min", result.swing });
+            line.figures.push_back({ "tick_us", result.tickUs });
+            line.target = "overloaded_s = 0";
+            line.met = result.overloadedSeconds == 0;
+        }
+        report.add(line);
+    }
+
+}
+
+void regions(Report& report, std::uint64_t seed)
+{
+    const testing::DigestFaults clean {};
+    const testing::DigestFaults faulty { .lost = 0.3, .doubled = 0.2, .latestSeconds = 4, .noise = 0.05 };
+    for (const testing::ModelSize& size : { testing::foundry(), testing::schools() }) {
+        for (const bool failover : { false, true }) {
+            const std::string name = size.name + (failover ? ", region lost" : ", two peaks");
+            add(report, name + ", ours", Policy::Ours, run(size, Policy::Ours, clean, failover, seed));
+            add(report, name + ", ours, faulty digests", Policy::Ours, run(size, Policy::Ours, faulty, failover, seed));
+            add(report, name + ", all to nearest", Policy::AllToNearest, run(size, Policy::AllToNearest, clean, failover, seed));
+            add(report, name + ", immediate spill", Policy::Immediate, run(size, Policy::Immediate, clean, failover, seed));
+        }
+    }
+}
+
+}
--- a/src/control/regions.cpp
+++ b/src/control/regions.cpp
@@ -126,6 +126,7 @@
         for (const RegionInput::Class& item : input.classes)
             largest[item.service] = std::max(largest[item.service], item.bytes > 0 ? item.bytes : unknownBytes);
         std::vector<std::string> order;
+        order.reserve(largest.size());
         for (const auto& [service, bytes] : largest)
             order.push_back(service);
         std::ranges::stable_sort(order, {}, [&](const std::string& service) { return largest.at(service); });
--- a/src/control/steps.cpp
+++ b/src/control/steps.cpp
@@ -32,6 +32,7 @@
     std::vector<std::string> namesOf(const std::vector<Declaration>& all)
     {
         std::vector<std::string> names;
+        names.reserve(all.size());
         for (const Declaration& declaration : all)
             names.push_back(declaration.name);
         return names;
--- a/src/lookup/rank.cpp
+++ b/src/lookup/rank.cpp
@@ -242,6 +242,7 @@
 {
     const auto byDomain = candidatesByDomain(table, shares);
     std::vector<std::vector<core::SiteRanks::Candidate>> lists;
+    lists.reserve(declarations.sites.size() + 1);
     for (const core::SiteDeclaration& site : declarations.sites)
         lists.push_back(listFor(domainOrder(table, declarations, site.nearestDomains), byDomain, core::hashBytes(site.name)));
     std::vector<std::string> own;
--- a/tests/pure/lookup.cpp
+++ b/tests/pure/lookup.cpp
@@ -40,8 +40,9 @@
         fleet.declarations.domains.push_back({ .name = "domain-" + std::to_string(i), .region = region, .oneWayDelay = std::chrono::milliseconds(4) });
         fleet.table.domains.push_back({ .name = "domain-" + std::to_string(i), .region = core::RegionIndex { i / 2 } });
         fleet.declarations.sites.push_back({ .name = "site-" + std::to_string(i), .nearestDomains = { "domain-" + std::to_string(i) } });
-        for (std::uint32_t member = 0; member < membersPerDomain; ++member)
+        for (std::uint32_t member = 0; member < membersPerDomain; ++member) {
             fleet.table.members.push_back({ .name = "vm-" + std::to_string(i) + "-" + std::to_string(member), .address = {}, .region = core::RegionIndex { i / 2 }, .domain = core::DomainIndex { i } });
+        }
     }
     return fleet;
 }
