Bound how fast new servers together take traffic

A replacement batch that appears at once moved 0.246 (foundry) and 0.239 (schools) of the traffic in a minute by its warm-up alone; the cap is 0.1. The new filter keeps the sum of the steps under half of the cap unless a region needs the servers.

--- a/src/control/drain.cpp
+++ b/src/control/drain.cpp
@@ -1,6 +1,7 @@
 #include "control/drain.h"
 
 #include "control/judge.h"
+#include "control/warm.h"
 
 #include <algorithm>
 #include <cmath>
@@ -11,7 +12,6 @@
 
     using Minutes = std::chrono::duration<double, std::ratio<60>>;
 
-    constexpr double defaultCapPerMinute = 0.1;
     constexpr double paceOfCap = 0.8;
     constexpr core::Duration margin = std::chrono::minutes(2); // between the last work and the contract end
     // A process that ran late may not make up for the whole pause in one step.
@@ -41,12 +41,17 @@
         double floor = 0; // below which the other servers have no room
     };
 
+    bool belongs(const Server& server, const core::BatchDeclaration& batch)
+    {
+        return server.listing.batch == batch.name && server.listing.service == batch.service;
+    }
+
     // Slots by region that a batch has when it gets its full share.
-    std::vector<double> slotsOf(const Context& context, const std::string& batch)
+    std::vector<double> slotsOf(const Context& context, const core::BatchDeclaration& batch)
     {
         std::vector<double> slots(context.declarations().regions.size(), 0);
         for (const Server& server : context.servers) {
-            if (server.listing.batch == batch && (server.state == core::ServerState::Active || server.state == core::ServerState::Warming))
+            if (belongs(server, batch) && (server.state == core::ServerState::Active || server.state == core::ServerState::Warming))
                 slots[server.region.value] += server.listing.slots * server.warmth;
         }
         return slots;
@@ -128,7 +133,7 @@
     void applyShare(Context& context, const Batch& batch)
     {
         for (Server& server : context.servers) {
-            if (server.listing.batch != batch.declaration->name)
+            if (!belongs(server, *batch.declaration))
                 continue;
             server.warmth *= batch.share;
             if (batch.share <= 0)
@@ -140,17 +145,10 @@
 
 DrainPace paceOf(const core::Declarations& declarations, const core::BatchDeclaration& batch)
 {
-    DrainPace pace { .capPerMinute = defaultCapPerMinute };
-    bool stated = false;
+    DrainPace pace { .capPerMinute = shiftCapOf(declarations, batch.service) };
     for (const core::ClassDeclaration& declaration : declarations.classes) {
-        if (declaration.service != batch.service)
-            continue;
-        pace.longestWork = std::max(pace.longestWork, declaration.deadline);
-        const auto target = std::ranges::find(declarations.targets, declaration.name, &core::TargetDeclaration::className);
-        if (target == declarations.targets.end() || target->shiftCap <= 0)
-            continue;
-        pace.capPerMinute = stated ? std::min(pace.capPerMinute, target->shiftCap) : target->shiftCap;
-        stated = true;
+        if (declaration.service == batch.service)
+            pace.longestWork = std::max(pace.longestWork, declaration.deadline);
     }
     // Batches whose drains would overlap share the cap.
     const core::WallTime::duration alone = toWall(Minutes(1 / (paceOfCap * pace.capPerMinute)));
@@ -218,7 +216,7 @@
         Batch batch { .declaration = &declaration, .pace = paceOf(declarations, declaration) };
         batch.window = windowOf(declaration, batch.pace);
         batch.wanted = drainTarget(batch.window, wall);
-        slots.push_back(slotsOf(context, declaration.name));
+        slots.push_back(slotsOf(context, declaration));
         batch.weight = weightOf(slots.back(), loads);
         const auto [found, added] = this->progress.try_emplace(declaration.name, Progress { .share = 1, .changedAt = now });
         if (added)
@@ -232,7 +230,9 @@
         for (std::size_t region = 0; region < loads.size(); ++region)
             loads[region].slots -= slots[i][region] * (1 - batches[i].share);
     }
-    const Minutes step = std::min<core::Duration>(now - changedAt, longestStep);
+    // New servers that warm up at the same time use the other half of the cap.
+    const double part = context.warmingServices.contains(service) ? 1 - warmUpPartOfCap : 1;
+    const Minutes step = std::min<core::Duration>(now - changedAt, longestStep) * part;
     for (std::size_t i = 0; i < batches.size(); ++i) {
         Batch& batch = batches[i];
         const bool urgent = expectedFinish(batch, wall) + urgency > lastFinish(batch);
--- a/src/control/judge.cpp
+++ b/src/control/judge.cpp
@@ -18,6 +18,7 @@
     constexpr core::Duration healthAge = std::chrono::seconds(10); // an older report says nothing about health
     constexpr core::Duration trafficAge = std::chrono::seconds(5); // an answer this fresh goes before the health report
     constexpr std::size_t ejectedPart = 3; // at most one in this many
+    constexpr double defaultCapPerMinute = 0.1; // where no target states one
     constexpr double mostHeadroom = 0.95; // a target above it would leave no capacity to plan with
 
     // A connection that fails or breaks shows a dead server; a passed deadline may be the request's own fault.
@@ -59,6 +60,17 @@
     return std::min(headroom, mostHeadroom);
 }
 
+double shiftCapOf(const core::Declarations& declarations, const std::string& service)
+{
+    double cap = 0;
+    for (const core::ClassDeclaration& declaration : declarations.classes) {
+        const auto target = std::ranges::find(declarations.targets, declaration.name, &core::TargetDeclaration::className);
+        if (declaration.service == service && target != declarations.targets.end() && target->shiftCap > 0)
+            cap = cap > 0 ? std::min(cap, target->shiftCap) : target->shiftCap;
+    }
+    return cap > 0 ? cap : defaultCapPerMinute;
+}
+
 Step Judge::operator()(Context context, core::TimePoint now)
 {
     this->readTraffic(context, now);
--- a/src/control/judge.h
+++ b/src/control/judge.h
@@ -10,6 +10,9 @@
 // The share of a service's capacity that is kept free: the largest of its classes' targets.
 double headroomOf(const core::Declarations&, const std::string& service);
 
+// The largest share of a service's traffic that planned shifts may move in a minute: the least of its classes' caps.
+double shiftCapOf(const core::Declarations&, const std::string& service);
+
 // Filter: ejects failing servers and works out the load of each region with the age of its figures.
 //
 // An ejection is temporary and doubles with each repetition. It ends with a probe: the server gets a part of its
--- a/src/control/merge.cpp
+++ b/src/control/merge.cpp
@@ -196,8 +196,10 @@
         Server server { .listing = life.listing, .region = place->second, .domain = place->first, .report = life.report };
         if (life.startedAt)
             server.warmth = warmthAfter(now - *life.startedAt, warmUpOf(context.declarations(), life.listing.batch));
-        if (server.warmth < 1)
+        if (server.warmth < 1) {
             server.state = core::ServerState::Warming;
+            server.slowStart = true;
+        }
         if (life.leavingAt) {
             server.state = core::ServerState::Leaving;
             server.warmth = 0;
--- a/src/control/pipeline.h
+++ b/src/control/pipeline.h
@@ -6,17 +6,18 @@
 #include "control/merge.h"
 #include "control/publish.h"
 #include "control/steps.h"
+#include "control/warm.h"
 
 namespace cranberryshed::control {
 
 // The control path, run by the control thread about once a second and on changes:
-// sources -> merge -> judge -> plan (drains, regions, home subsets) -> publish.
+// sources -> merge -> judge -> plan (warm-ups, drains, regions, home subsets) -> publish.
 // Called with Sources and the time, it gives Published, or why the last table stays in force.
-using ControlPipe = core::Pipe<Merge, Judge, PlanDrains, PlanRegions, ChooseHomes, Publish>;
+using ControlPipe = core::Pipe<Merge, Judge, PlanWarmUps, PlanDrains, PlanRegions, ChooseHomes, Publish>;
 
 inline ControlPipe makeControlPipe()
 {
-    return ControlPipe(Merge {}, Judge {}, PlanDrains {}, PlanRegions {}, ChooseHomes {}, Publish {});
+    return ControlPipe(Merge {}, Judge {}, PlanWarmUps {}, PlanDrains {}, PlanRegions {}, ChooseHomes {}, Publish {});
 }
 
 }
--- a/src/control/sources.h
+++ b/src/control/sources.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -75,6 +76,7 @@
     core::DomainIndex domain {};
     core::ServerState state = core::ServerState::Active;
     double warmth = 1;
+    bool slowStart = false; // its warmth is below 1 because it started a short time ago
     bool home = false;
     std::optional<core::LoadReport> report {};
 };
@@ -118,6 +120,7 @@
     std::vector<Server> servers {};
     std::vector<std::vector<ClassDemand>> demand {}; // by class, by region
     std::map<std::string, std::vector<ServiceLoad>> services {}; // by name, by region
+    std::set<std::string> warmingServices {}; // whose traffic moves to new servers at present
     std::vector<std::vector<double>> admitted {}; // by class, by region: share that the class may have there, 0 to 1
     std::vector<std::vector<double>> regionShares {}; // by class, by region
     std::vector<std::vector<double>> regionLimits {}; // by class, by region
--- a/tests/pure/drain.cpp
+++ b/tests/pure/drain.cpp
@@ -226,3 +226,39 @@
         CHECK((server.warmth == 0) == (server.listing.batch == "old"));
     }
 }
+
+// Guards against a new batch that takes its whole share in the two minutes of its warm-up, and against servers
+// that are held back while the region needs them.
+TEST_CASE("a new batch takes traffic under the cap unless it is needed", "[drain]")
+{
+    for (const double need : { 0.4, 0.65 }) {
+        control::Context context = makeContext(need);
+        control::PlanWarmUps plan;
+        std::vector<double> shares;
+        int full = -1;
+        for (int second = 0; second < 1200; ++second) {
+            for (control::Server& server : context.servers) {
+                if (server.listing.batch != "new")
+                    continue;
+                server.warmth = control::warmthAfter(std::chrono::seconds(second), 2min);
+                server.slowStart = server.warmth < 1;
+                server.state = server.slowStart ? core::ServerState::Warming : core::ServerState::Active;
+            }
+            control::Context input = context;
+            control::measureServices(input);
+            const control::Context after = plan(std::move(input), timeAt(second)).output();
+            double batch = 0;
+            for (const control::Server& server : after.servers)
+                batch += server.listing.batch == "new" ? server.warmth * server.listing.slots : 0;
+            shares.push_back(batch / after.services.at("ledger")[0].slots);
+            if (full < 0 && batch == 24)
+                full = second;
+        }
+        INFO("need " << need);
+        CHECK(full > 0);
+        if (need == 0.4)
+            CHECK(largestMinute(shares) <= control::warmUpPartOfCap * cap);
+        else
+            CHECK(full <= 120 + 400);
+    }
+}
