--- a/src/lookup/rank.cpp
+++ b/src/lookup/rank.cpp
@@ -4,43 +4,20 @@
 
 #include <algorithm>
 #include <map>
-#include <numeric>
+#include <span>
 
 namespace cranberryshed::core {
 
 namespace {
 
-    // The finalizer of MurmurHash3: cheap enough to run for each candidate of each look-up.
+    // Two rounds of the finalizer of MurmurHash3: cheap enough to run for each candidate of each look-up. The keys
+    // are hashes already, so the first shift and the last are not needed.
     std::uint64_t mix(std::uint64_t value)
     {
-        value = (value ^ (value >> 33U)) * 0xff51afd7ed558ccdULL;
-        value = (value ^ (value >> 33U)) * 0xc4ceb9fe1a85ec53ULL;
-        return value ^ (value >> 33U);
+        value *= 0xff51afd7ed558ccdULL;
+        return (value ^ (value >> 32U)) * 0xc4ceb9fe1a85ec53ULL;
     }
 
-    struct Best {
-        std::uint64_t score = 0;
-        const SiteRanks::Candidate* candidate = nullptr;
-    };
-
-    // The candidates of the best scores seen, best first.
-    class Top {
-    public:
-        void offer(std::uint64_t score, const SiteRanks::Candidate& candidate)
-        {
-            if (score <= this->places.back().score)
-                return;
-            std::size_t position = this->places.size() - 1;
-            for (; position > 0 && this->places[position - 1].score < score; --position)
-                this->places[position] = this->places[position - 1];
-            this->places[position] = { .score = score, .candidate = &candidate };
-        }
-        const std::array<Best, RankedMembers::limit>& best() const { return this->places; }
-
-    private:
-        std::array<Best, RankedMembers::limit> places {};
-    };
-
     // Collects the answer: two members in order, then one in another failure domain than the first.
     class Selection {
     public:
@@ -69,23 +46,34 @@
         bool otherDomain = false;
     };
 
-    // Offers the candidates tier by tier, each tier in the caller's order.
-    void walk(const std::vector<SiteRanks::Candidate>& candidates, std::uint64_t callerHash, bool acceptAll, bool anyDomain, Selection& selection)
+    // Offers the candidates tier by tier, each tier in the caller's order. Scores are computed for the whole tier
+    // first: a branch for each candidate would be mispredicted and cost more than the hash.
+    void walk(std::span<const SiteRanks::Candidate> candidates, std::uint64_t callerHash, bool acceptAll, bool anyDomain, Selection& selection)
     {
-        std::size_t position = 0;
-        while (position < candidates.size() && !selection.full()) {
-            const std::uint8_t tier = candidates[position].tier;
-            Top top;
-            for (; position < candidates.size() && candidates[position].tier == tier; ++position) {
-                const SiteRanks::Candidate& candidate = candidates[position];
-                const std::uint64_t score = mix(candidate.key ^ callerHash);
-                if (acceptAll || static_cast<std::uint16_t>(score) <= candidate.accepted)
-                    top.offer(score, candidate);
+        std::array<std::uint64_t, SiteRanks::candidateLimit> scores;
+        // A tier is one failure domain, which may not fill the last place.
+        const std::size_t picks = anyDomain ? RankedMembers::limit : RankedMembers::limit - 1;
+        std::size_t first = 0;
+        while (first < candidates.size() && !selection.full()) {
+            std::size_t end = first;
+            for (; end < candidates.size() && candidates[end].tier == candidates[first].tier; ++end) {
+                const std::uint64_t score = mix(candidates[end].key ^ callerHash);
+                const bool accepted = acceptAll | (static_cast<std::uint16_t>(score) <= candidates[end].accepted);
+                scores[end] = accepted ? score : 0;
             }
-            for (const Best& place : top.best()) {
-                if (place.candidate)
-                    selection.offer(*place.candidate, anyDomain);
+            for (std::size_t count = 0; count < picks && !selection.full(); ++count) {
+                std::size_t best = first;
+                std::uint64_t bestScore = 0;
+                for (std::size_t i = first; i < end; ++i) {
+                    best = scores[i] > bestScore ? i : best;
+                    bestScore = std::max(bestScore, scores[i]);
+                }
+                if (bestScore == 0)
+                    break;
+                scores[best] = 0;
+                selection.offer(candidates[best], anyDomain);
             }
+            first = end;
         }
     }
 
@@ -95,7 +83,7 @@
 {
     if (this->sites.empty())
         return {};
-    const std::vector<Candidate>& candidates = this->sites[std::min<std::size_t>(site, this->sites.size() - 1)];
+    const std::span<const Candidate> candidates = this->sites[std::min<std::size_t>(site, this->sites.size() - 1)];
     const std::uint64_t callerHash = mix(static_cast<std::uint32_t>(caller) + 0x9e3779b97f4a7c15ULL);
     Selection selection;
     walk(candidates, callerHash, false, false, selection);
@@ -125,7 +113,6 @@
     // further tiers are second choices, where each candidate more only costs look-up time.
     constexpr std::size_t nearestTierLimit = 40;
     constexpr std::size_t otherTierLimit = 8;
-    constexpr std::size_t siteLimit = 64; // candidates of one site
 
     bool serving(const core::MemberEntry& member)
     {
@@ -188,7 +175,7 @@
     std::vector<core::SiteRanks::Candidate> listFor(const std::vector<std::uint32_t>& order, const std::vector<std::vector<core::SiteRanks::Candidate>>& byDomain, std::uint64_t siteKey)
     {
         std::vector<core::SiteRanks::Candidate> list;
-        for (std::size_t tier = 0; tier < order.size() && list.size() < siteLimit; ++tier) {
+        for (std::size_t tier = 0; tier < order.size() && list.size() + otherTierLimit <= core::SiteRanks::candidateLimit; ++tier) {
             std::vector<core::SiteRanks::Candidate> candidates = byDomain[order[tier]];
             const std::size_t limit = list.empty() ? nearestTierLimit : otherTierLimit;
             if (candidates.size() > limit) {
--- a/src/lookup/rank.h
+++ b/src/lookup/rank.h
@@ -37,6 +37,8 @@
         std::uint8_t domain = 0;
     };
 
+    static constexpr std::size_t candidateLimit = 64; // of one site
+
     explicit SiteRanks(std::vector<std::vector<Candidate>> candidatesBySite)
         : sites(std::move(candidatesBySite))
     {
