--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -18,7 +18,9 @@
     Row { "choice", bench::choice },
     Row { "headofline", bench::headOfLine },
     Row { "admission", bench::admission },
+    Row { "drain", bench::drain },
     Row { "lookup", bench::lookup },
+    Row { "regions", bench::regions },
 };
 
 int usage()
