Share crash suspects, leaving servers and demand with the fleet

Cause: control dropped what traffic observed, so a request that crashed a server was only known to one entry VM, and plans had no demand. Change: observations become gossip items and load digests; the chooser is selected by an option; control/demand with its test.

--- a/src/app/control_loop.cpp
+++ b/src/app/control_loop.cpp
@@ -5,12 +5,35 @@
 #include "wire/clock.h"
 #include "wire/log.h"
 
+#include <charconv>
+
 namespace cranberryshed::app {
 
 namespace asio = wire::asio;
 using wire::Task;
 using wire::useResult;
 
+namespace {
+
+    // How long a quarantine, a suspicion or a leaving mark is known to the fleet without being renewed.
+    constexpr core::Duration itemLifetime = std::chrono::minutes(10);
+
+    std::string formatFingerprint(core::Fingerprint fingerprint)
+    {
+        return fmt::format("{:016x}", static_cast<std::uint64_t>(fingerprint));
+    }
+
+    std::optional<core::Fingerprint> parseFingerprint(std::string_view text)
+    {
+        std::uint64_t value = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, 16);
+        if (error != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return core::Fingerprint { value };
+    }
+
+}
+
 ControlLoop::ControlLoop(asio::io_context& owner, Options loopOptions, TakeTable tableTaker)
     : context(owner)
     , options(std::move(loopOptions))
@@ -78,7 +101,9 @@
     if (!std::exchange(this->objectsRead, true) || changes.objects != this->seen.objects)
         this->readObjects(snapshot);
     this->readMembers(snapshot);
+    this->readItems(snapshot);
     this->seen = changes;
+    this->sources.demand = this->demand.demand(now);
     this->store.setWatching(snapshot.watcher);
     this->sources.digests = snapshot.digests;
     this->sources.wall = wire::wallNow();
@@ -91,6 +116,8 @@
     }
     this->published = std::move(outcome.output());
     this->takeTable(this->published.table);
+    this->peerNode.setLoad(this->demand.load(*this->published.table, now));
+    this->shareLeavingServers();
     this->pollHomeServers();
 }
 
@@ -116,12 +143,41 @@
 {
     this->sources.members.clear();
     for (const fleet::MemberRecord& member : snapshot.members) {
-        if (member.fact.state == core::MemberState::Left || member.fact.state == core::MemberState::Dead)
+        if (member.fact.state == core::MemberState::Left)
             continue;
         this->sources.members.push_back({ .name = member.name, .address = member.callerAddress, .domain = member.domain, .state = member.fact.state, .incarnation = member.fact.incarnation });
     }
 }
 
+// Quarantines, suspects and leaving servers that any entry VM found out.
+void ControlLoop::readItems(const fleet::Snapshot& snapshot)
+{
+    this->sources.quarantined.clear();
+    this->sources.suspects.clear();
+    this->sources.leavingServers.clear();
+    for (const fleet::Item& item : snapshot.items) {
+        if (item.kind == fleet::ItemKind::Leaving) {
+            this->sources.leavingServers.push_back(item.key);
+            continue;
+        }
+        const std::optional<core::Fingerprint> fingerprint = parseFingerprint(item.key);
+        if (item.kind == fleet::ItemKind::Quarantine && fingerprint)
+            this->sources.quarantined.push_back(*fingerprint);
+        if (item.kind == fleet::ItemKind::Suspect && fingerprint)
+            this->sources.suspects.push_back(*fingerprint);
+    }
+}
+
+void ControlLoop::shareLeavingServers()
+{
+    const std::set<std::string> leaving(this->published.leavingServers.begin(), this->published.leavingServers.end());
+    for (const std::string& server : leaving) {
+        if (!this->sharedLeaving.contains(server))
+            this->peerNode.publish(fleet::Item { .kind = fleet::ItemKind::Leaving, .key = server, .remaining = itemLifetime });
+    }
+    this->sharedLeaving = leaving;
+}
+
 void ControlLoop::pollHomeServers()
 {
     std::map<std::string, std::string> servers;
@@ -141,12 +197,28 @@
 void ControlLoop::take(const request::ServerObserved& observed)
 {
     this->sources.traffic.push_back({ .server = observed.server, .at = wire::steadyNow(), .result = observed.result, .elapsed = observed.elapsed, .length = observed.length });
+    if (observed.result == core::AttemptResult::Answered)
+        this->demand.addAttempt(observed.className, observed.held);
 }
 
-void ControlLoop::take(const request::CrashObserved&) { }
+// A crash while the request ran alone convicts it for the whole fleet; otherwise it becomes a suspect.
+void ControlLoop::take(const request::CrashObserved& crash)
+{
+    const fleet::ItemKind kind = crash.isolated ? fleet::ItemKind::Quarantine : fleet::ItemKind::Suspect;
+    for (const core::Fingerprint fingerprint : crash.inFlight) {
+        wire::log(core::LogPart::Control, spdlog::level::warn, "server {} broke while it ran request {}: {}", crash.server, formatFingerprint(fingerprint), core::nameOf(kind));
+        this->peerNode.publish(fleet::Item { .kind = kind, .key = formatFingerprint(fingerprint), .remaining = itemLifetime });
+    }
+}
 
-void ControlLoop::take(const request::SuspectCleared&) { }
+void ControlLoop::take(const request::SuspectCleared& cleared)
+{
+    this->peerNode.publish(fleet::Item { .kind = fleet::ItemKind::Suspect, .key = formatFingerprint(cleared.fingerprint), .withdrawn = true, .remaining = itemLifetime });
+}
 
-void ControlLoop::take(const request::DemandObserved&) { }
+void ControlLoop::take(const request::DemandObserved& observed)
+{
+    this->demand.addArrivals(observed.className, observed.arrived, observed.rejected, wire::steadyNow());
+}
 
 }
--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -2,6 +2,7 @@
 
 #include "app/health.h"
 #include "app/store_sync.h"
+#include "control/demand.h"
 #include "control/pipeline.h"
 #include "request/events.h"
 #include "wire/peer.h"
@@ -49,6 +50,8 @@
     void run();
     void readObjects(const fleet::Snapshot&);
     void readMembers(const fleet::Snapshot&);
+    void readItems(const fleet::Snapshot&);
+    void shareLeavingServers();
     void pollHomeServers();
     void take(const request::ServerObserved&);
     void take(const request::CrashObserved&);
@@ -63,7 +66,9 @@
     HealthPoller health;
     wire::Timer timer;
     control::Sources sources;
-    control::ControlPipe pipe;
+    control::ControlPipe pipe = control::makeControlPipe();
+    control::DemandMeter demand;
+    std::set<std::string> sharedLeaving; // servers whose leaving this VM has told the others
     control::Published published;
     fleet::Changes seen;
     bool objectsRead = false;
--- a/src/app/entry_vm.cpp
+++ b/src/app/entry_vm.cpp
@@ -15,27 +15,27 @@
 
 namespace {
 
-core::Incarnation newIncarnation()
-{
-    return core::Incarnation { static_cast<std::uint64_t>(wire::wallNow().time_since_epoch().count()) };
-}
+    core::Incarnation newIncarnation()
+    {
+        return core::Incarnation { static_cast<std::uint64_t>(wire::wallNow().time_since_epoch().count()) };
+    }
 
-ControlLoop::Options controlOptions(const EntryVmOptions& options, const std::string& callerAddress, core::Incarnation incarnation)
-{
-    ControlLoop::Options result;
-    result.node.fleet = options.fleet;
-    result.node.name = options.name;
-    result.node.peerAddress = options.peerAddress;
-    result.node.callerAddress = callerAddress;
-    result.node.domain = options.domain;
-    result.node.incarnation = incarnation;
-    result.node.seeds = options.seeds;
-    result.node.randomSeed = options.seed;
-    result.store.endpoint = options.storeAddress;
-    result.store.writer = options.name + '/' + std::to_string(static_cast<std::uint64_t>(incarnation));
-    result.store.seed = options.seed;
-    return result;
-}
+    ControlLoop::Options controlOptions(const EntryVmOptions& options, const std::string& callerAddress, core::Incarnation incarnation)
+    {
+        ControlLoop::Options result;
+        result.node.fleet = options.fleet;
+        result.node.name = options.name;
+        result.node.peerAddress = options.peerAddress;
+        result.node.callerAddress = callerAddress;
+        result.node.domain = options.domain;
+        result.node.incarnation = incarnation;
+        result.node.seeds = options.seeds;
+        result.node.randomSeed = options.seed;
+        result.store.endpoint = options.storeAddress;
+        result.store.writer = options.name + '/' + std::to_string(static_cast<std::uint64_t>(incarnation));
+        result.store.seed = options.seed;
+        return result;
+    }
 
 }
 
@@ -51,7 +51,7 @@
         asio::post(*this->context, [this, observations = std::move(observations)]() mutable { this->control->observe(std::move(observations)); });
     };
     for (std::uint32_t i = 0; i < this->options.trafficThreads; ++i) {
-        this->workers.push_back(std::make_unique<wire::Worker>(wire::Worker::Options { .index = i, .seed = this->options.seed + i, .limits = this->options.limits, .shared = shared, .observe = observe }));
+        this->workers.push_back(std::make_unique<wire::Worker>(wire::Worker::Options { .index = i, .threads = this->options.trafficThreads, .chooser = this->options.chooser, .seed = this->options.seed + i, .limits = this->options.limits, .shared = shared, .observe = observe }));
         this->callerEndpoint = this->workers.back()->listen(this->callerEndpoint);
     }
     this->admin = std::make_unique<wire::AdminServer>(*this->context, wire::parseEndpoint(this->options.adminAddress));
--- a/src/app/entry_vm.h
+++ b/src/app/entry_vm.h
@@ -23,6 +23,7 @@
     std::vector<std::string> seeds; // peer addresses of some entry VMs
     std::uint32_t trafficThreads = 1;
     std::uint64_t seed = 0; // of random decisions
+    request::ChooserKind chooser = request::ChooserKind::HomeSubset;
     wire::Limits limits;
     core::Duration acceptWhileLeaving = std::chrono::seconds(5); // callers may still hold a look-up answer
     core::Duration drainLimit = std::chrono::minutes(10); // for requests in flight at a shutdown
--- /dev/null
+++ b/src/control/demand.cpp
@@ -0,0 +1,95 @@
+#include "control/demand.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cranberryshed::control {
+
+namespace {
+
+    // Long enough to smooth single requests, short enough to follow a class of pupils that starts at once.
+    constexpr double smoothingSeconds = 5;
+
+    constexpr double heldWeight = 0.05; // of a new attempt in the mean
+    constexpr double tailStep = 0.05; // relative step of the percentile's estimate
+    constexpr double tailShare = 0.99;
+
+    double seconds(core::Duration duration)
+    {
+        return std::chrono::duration<double>(duration).count();
+    }
+
+    core::Duration fromSeconds(double value)
+    {
+        return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(value));
+    }
+
+}
+
+// An exponentially decaying rate: each arrival adds 1/smoothing, and the sum decays with that time constant.
+void DemandMeter::Rate::add(std::uint32_t count, core::TimePoint now)
+{
+    this->perSecond = this->value(now) + count / smoothingSeconds;
+    this->at = now;
+}
+
+double DemandMeter::Rate::value(core::TimePoint now) const
+{
+    const double age = std::max(0.0, seconds(now - this->at));
+    return this->perSecond * std::exp(-age / smoothingSeconds);
+}
+
+void DemandMeter::addArrivals(const std::string& className, std::uint32_t arrived, std::uint32_t rejected, core::TimePoint now)
+{
+    Meter& meter = this->meters[className];
+    meter.arrived.add(arrived, now);
+    meter.rejected.add(rejected, now);
+}
+
+void DemandMeter::addAttempt(const std::string& className, core::Duration held)
+{
+    Meter& meter = this->meters[className];
+    const double value = seconds(held);
+    meter.heldSeconds = meter.heldSeconds == 0 ? value : meter.heldSeconds + heldWeight * (value - meter.heldSeconds);
+    // Stochastic approximation: up by the share that lies below, down by the share that lies above.
+    if (meter.tailSeconds == 0)
+        meter.tailSeconds = value;
+    else if (value > meter.tailSeconds)
+        meter.tailSeconds *= 1 + tailStep * tailShare;
+    else
+        meter.tailSeconds *= 1 - tailStep * (1 - tailShare);
+}
+
+std::vector<OwnDemand> DemandMeter::demand(core::TimePoint now) const
+{
+    std::vector<OwnDemand> result;
+    for (const auto& [name, meter] : this->meters)
+        result.push_back({ .className = name, .rate = meter.arrived.value(now), .meanTime = fromSeconds(meter.heldSeconds) });
+    return result;
+}
+
+core::DomainDigest DemandMeter::load(const core::SteeringTable& table, core::TimePoint now) const
+{
+    core::DomainDigest digest;
+    for (const auto& [name, meter] : this->meters) {
+        digest.classes.push_back({
+            .className = name,
+            .demand = meter.arrived.value(now),
+            .rejected = meter.rejected.value(now),
+            .inFlight = static_cast<std::uint32_t>(std::lround(meter.arrived.value(now) * meter.heldSeconds)),
+            .meanTime = fromSeconds(meter.heldSeconds),
+            .tailLatency = fromSeconds(meter.tailSeconds),
+        });
+    }
+    for (const core::ServerEntry& server : table.servers) {
+        const std::string& region = table.at(server.region).name;
+        const auto found = std::ranges::find_if(digest.capacities, [&](const auto& entry) { return entry.service == server.service && entry.region == region; });
+        core::ServiceCapacity& capacity = found != digest.capacities.end() ? *found : digest.capacities.emplace_back(core::ServiceCapacity { .service = server.service, .region = region });
+        if (server.state == core::ServerState::Active || server.state == core::ServerState::Warming)
+            capacity.slots += static_cast<std::uint32_t>(std::lround(server.warmth * server.slots));
+        capacity.busy += server.inFlight ? server.inFlight->inFlight() : 0;
+    }
+    return digest;
+}
+
+}
--- a/src/control/sources.h
+++ b/src/control/sources.h
@@ -62,6 +62,7 @@
     std::vector<core::DomainDigest> digests {};
     std::vector<MemberSource> members {};
     std::vector<core::Fingerprint> quarantined {};
+    std::vector<core::Fingerprint> suspects {};
     std::vector<std::string> leavingServers {}; // names that other entry VMs saw leaving
     std::string self {}; // name of this VM
     std::string selfDomain {};
--- a/src/fleet/sets.h
+++ b/src/fleet/sets.h
@@ -11,11 +11,12 @@
     Quarantine, // a fingerprint that no backend server may run
     Suspect, // a fingerprint that was in flight when a backend server broke
     Ejection, // a backend server that gets no requests for a while
+    Leaving, // a backend server that some entry VM saw leaving
 };
 
 }
 
 template <>
 struct cranberryshed::core::Names<cranberryshed::fleet::ItemKind> {
-    static constexpr std::array<std::string_view, 3> values = { "item.quarantine", "item.suspect", "item.ejection" };
+    static constexpr std::array<std::string_view, 4> values = { "item.quarantine", "item.suspect", "item.ejection", "item.leaving" };
 };
--- a/src/request/events.h
+++ b/src/request/events.h
@@ -104,6 +104,8 @@
     core::AttemptResult result;
     core::Duration elapsed {}; // until the head of the answer, or until the end if there was none
     core::WorkLength length = core::WorkLength::Short;
+    std::string className {};
+    core::Duration held {}; // how long the attempt held its slot
 };
 
 // A backend server broke a connection without an answer while it ran these requests.
--- /dev/null
+++ b/src/request/selected_chooser.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "request/choose.h"
+
+#include <variant>
+
+namespace cranberryshed::request {
+
+// The ways to choose a backend server. All but the first are kept for comparison.
+enum class ChooserKind : std::uint8_t { HomeSubset,
+    TwoChoices,
+    LeastLatency,
+    RoundRobin };
+
+// The chooser that the settings name, without virtual dispatch.
+class SelectedChooser {
+public:
+    // `threads` is the number of traffic threads of the process.
+    SelectedChooser(ChooserKind kind, std::uint32_t threads)
+        : chooser(make(kind, threads))
+    {
+    }
+
+    std::optional<core::ServerIndex> choose(const core::SteeringTable& table, core::ClassIndex classIndex, std::span<const core::ServerIndex> excluded, core::RandomEngine& random, core::TimePoint now)
+    {
+        return std::visit([&](auto& selected) { return selected.choose(table, classIndex, excluded, random, now); }, this->chooser);
+    }
+
+    void ended(const EndedAttempt& attempt, core::TimePoint now)
+    {
+        std::visit(
+            [&]<typename Selected>(Selected& selected) {
+                if constexpr (LearningChooser<Selected>)
+                    selected.ended(attempt, now);
+            },
+            this->chooser);
+    }
+
+private:
+    using Choosers = std::variant<HomeSubset, TwoChoices, LeastLatency, RoundRobin>;
+
+    static Choosers make(ChooserKind kind, std::uint32_t threads)
+    {
+        switch (kind) {
+        case ChooserKind::TwoChoices:
+            return TwoChoices();
+        case ChooserKind::LeastLatency:
+            return LeastLatency();
+        case ChooserKind::RoundRobin:
+            return RoundRobin();
+        case ChooserKind::HomeSubset:
+            break;
+        }
+        return HomeSubset({ .threads = threads });
+    }
+
+    Choosers chooser;
+};
+
+}
+
+template <>
+struct cranberryshed::core::Names<cranberryshed::request::ChooserKind> {
+    static constexpr std::array<std::string_view, 4> values = { "home-subset", "two-choices", "least-latency", "round-robin" };
+};
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -4,14 +4,13 @@
 #include "wire/log.h"
 #include "wire/session.h"
 
-
 namespace cranberryshed::wire {
 
 namespace {
 
     constexpr int listenBacklog = 1024;
-constexpr core::Duration observationDelay = std::chrono::milliseconds(100);
-constexpr std::size_t largestBatch = 1000; // observations
+    constexpr core::Duration observationDelay = std::chrono::milliseconds(100);
+    constexpr std::size_t largestBatch = 1000; // observations
 
     // Request ids are unique in the process: the thread's index is in the upper bits.
     constexpr unsigned threadIndexShift = 48;
@@ -24,7 +23,7 @@
     : options(std::move(workerOptions))
     , work(asio::make_work_guard(*this->context))
     , currentTable(std::make_shared<core::SteeringTable>())
-    , engine(this->options.engine, {}, this->options.shared, this->options.seed)
+    , engine(this->options.engine, request::SelectedChooser(this->options.chooser, this->options.threads), this->options.shared, this->options.seed)
     , lookups(lookup::FindClass {}, lookup::LocateCaller {}, lookup::RankMembers {}, lookup::IssueKey { *this->options.shared.keys })
     , pool(this->options.pool)
     , observationTimer(this->executor())
--- a/src/wire/worker.h
+++ b/src/wire/worker.h
@@ -2,6 +2,7 @@
 
 #include "lookup/issue_key.h"
 #include "request/engine.h"
+#include "request/selected_chooser.h"
 #include "wire/asio.h"
 #include "wire/exchange.h"
 #include "wire/limits.h"
@@ -14,7 +15,7 @@
 
 namespace cranberryshed::wire {
 
-using TrafficEngine = request::Engine<request::RoundRobin>;
+using TrafficEngine = request::Engine<request::SelectedChooser>;
 
 // One traffic thread: its io_context, its part of the caller connections, its request engine.
 // Everything but `post`, `setTable` and `executor` is called on that thread only.
@@ -22,6 +23,8 @@
 public:
     struct Options {
         std::uint32_t index = 0; // of the traffic threads of this process
+        std::uint32_t threads = 1; // traffic threads of this process
+        request::ChooserKind chooser = request::ChooserKind::HomeSubset;
         std::uint64_t seed = 0;
         Limits limits;
         TrafficEngine::Options engine;
--- /dev/null
+++ b/tests/pure/demand.cpp
@@ -0,0 +1,26 @@
+#include "control/demand.h"
+
+#include <catch2/catch.hpp>
+
+namespace core = cranberryshed::core;
+namespace control = cranberryshed::control;
+using namespace std::chrono_literals;
+
+// Guards against a demand that stays high after its requests stop, or that never reaches the true rate:
+// the plan would move traffic for load that does not exist.
+TEST_CASE("own demand follows the rate of arrivals and decays without them", "[control]")
+{
+    control::DemandMeter meter;
+    core::TimePoint now { 1h };
+    for (int second = 0; second < 60; ++second) {
+        now += 1s;
+        meter.addArrivals("stock-lookup", 200, 20, now);
+        meter.addAttempt("stock-lookup", 4ms);
+    }
+    const control::OwnDemand steady = meter.demand(now).at(0);
+    CHECK(steady.rate == Approx(200).epsilon(0.15));
+    CHECK(steady.meanTime == 4ms);
+    CHECK(meter.demand(now + 60s).at(0).rate < 1);
+    const core::DomainDigest load = meter.load(core::SteeringTable {}, now);
+    CHECK(load.classes.at(0).rejected == Approx(20).epsilon(0.15));
+}
