--- a/src/app/arguments.cpp
+++ b/src/app/arguments.cpp
@@ -37,12 +37,12 @@
     options.add_options()("output", po::value<std::string>()->default_value("text"), "text or json");
 }
 
-OutputFormat outputFormat(const po::variables_map& values)
+admin::OutputForm outputForm(const po::variables_map& values)
 {
     const std::string& name = values["output"].as<std::string>();
-    const std::optional<OutputFormat> format = core::parseName<OutputFormat>(name);
+    const std::optional<admin::OutputForm> format = core::parseName<admin::OutputForm>(name);
     if (!format)
-        throw core::Error(core::ErrorKind::BadUsage, "--output " + name + ": allowed are " + core::allNames<OutputFormat>());
+        throw core::Error(core::ErrorKind::BadUsage, "--output " + name + ": allowed are " + core::allNames<admin::OutputForm>());
     return *format;
 }
 
--- a/src/app/arguments.h
+++ b/src/app/arguments.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/names.h"
+#include "admin/options.h"
 
 #include <boost/program_options.hpp>
 #include <optional>
@@ -11,9 +11,6 @@
 
 using Arguments = std::vector<std::string>;
 
-enum class OutputFormat : std::uint8_t { Text,
-    Json };
-
 // Parses a subcommand's arguments. Prints the help or the version and returns nothing if one was asked for.
 // Throws core::Error (BadUsage) for wrong arguments.
 std::optional<boost::program_options::variables_map> parseArguments(const std::string& command, const std::string& summary,
@@ -21,11 +18,6 @@
 
 // Adds `--output json|text`.
 void addOutputOption(boost::program_options::options_description&);
-OutputFormat outputFormat(const boost::program_options::variables_map&);
+admin::OutputForm outputForm(const boost::program_options::variables_map&);
 
 }
-
-template <>
-struct cranberryshed::core::Names<cranberryshed::app::OutputFormat> {
-    static constexpr std::array<std::string_view, 2> values = { "text", "json" };
-};
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -10,5 +10,11 @@
 int devCommand(const Arguments&);
 int loadCommand(const Arguments&);
 int dumpCommand(const Arguments&);
+int checkCommand(const Arguments&);
+int diffCommand(const Arguments&);
+int applyCommand(const Arguments&);
+int getCommand(const Arguments&);
+int statusCommand(const Arguments&);
+int waitCommand(const Arguments&);
 
 }
--- a/src/app/dump_command.cpp
+++ b/src/app/dump_command.cpp
@@ -80,9 +80,9 @@
     const std::optional<po::variables_map> values = parseArguments("dump ADDRESS", "Prints the state of one entry VM.", options, arguments, positional);
     if (!values)
         return 0;
-    const OutputFormat format = outputFormat(*values);
+    const admin::OutputForm format = outputForm(*values);
     const std::string text = fetch((*values)["address"].as<std::string>(), "/v1/dump");
-    if (format == OutputFormat::Json)
+    if (format == admin::OutputForm::Json)
         std::cout << text << '\n';
     else {
         printIndented(std::cout, boost::json::parse(text));
--- /dev/null
+++ b/src/app/settings.cpp
@@ -0,0 +1,218 @@
+#include "app/settings.h"
+
+#include "declare/keys.h"
+
+#include <boost/json.hpp>
+#include <fstream>
+#include <iterator>
+#include <spdlog/pattern_formatter.h>
+
+namespace cranberryshed::app {
+
+namespace json = boost::json;
+using declare::Key;
+using declare::Shape;
+
+namespace {
+
+    constexpr double minuteMs = 60'000;
+    constexpr double hourMs = 3'600'000;
+
+    constexpr std::array limitKeys = {
+        Key { "headerBytes", Shape::Whole, false, 512, 1'048'576 },
+        Key { "bodyBytes", Shape::Whole, false, 0, 1e13 },
+        Key { "replayBytes", Shape::Whole, false, 0, 16'777'216 },
+        Key { "headerTimeoutMs", Shape::Whole, false, 10, hourMs },
+        Key { "idleTimeoutMs", Shape::Whole, false, 10, hourMs },
+        Key { "progressTimeoutMs", Shape::Whole, false, 10, hourMs },
+        Key { "connectTimeoutMs", Shape::Whole, false, 1, minuteMs },
+        Key { "connectionsPerCaller", Shape::Whole, false, 1, 65'535 },
+    };
+
+    constexpr std::array shutdownKeys = {
+        Key { "acceptMs", Shape::Whole, false, 0, minuteMs },
+        Key { "drainMs", Shape::Whole, false, 0, 24 * hourMs },
+    };
+
+    constexpr std::array logKeys = {
+        Key { "level", Shape::Choice, false, 0, 0, {}, core::Names<LogLevel>::values },
+        Key { "format", Shape::Choice, false, 0, 0, {}, core::Names<LogFormat>::values },
+    };
+
+    constexpr std::array settingsKeys = {
+        Key { "fleet", Shape::Name },
+        Key { "name", Shape::Name, true },
+        Key { "failureDomain", Shape::Name, true },
+        Key { "callerAddress", Shape::Endpoint, true },
+        Key { "adminAddress", Shape::Endpoint, true },
+        Key { "peerAddress", Shape::Endpoint, true },
+        Key { "storeAddress", Shape::Endpoint, true },
+        Key { "peers", Shape::EndpointList },
+        Key { "trafficThreads", Shape::Whole, false, 1, 64 },
+        Key { "seed", Shape::Whole, false, 0, 9e15 },
+        Key { "chooser", Shape::Choice, false, 0, 0, {}, core::Names<request::ChooserKind>::values },
+        Key { "limits", Shape::Section, false, 0, 0, limitKeys },
+        Key { "shutdown", Shape::Section, false, 0, 0, shutdownKeys },
+        Key { "log", Shape::Section, false, 0, 0, logKeys },
+    };
+
+    json::value parseText(std::string_view text, json::error_code& error)
+    {
+        json::parse_options options;
+        options.allow_comments = true;
+        options.allow_trailing_commas = true;
+        return json::parse(text, error, {}, options);
+    }
+
+    // Copies the values that are present over the defaults. The object has passed the check.
+    class Reader {
+    public:
+        explicit Reader(const json::object& source)
+            : object(source)
+        {
+        }
+
+        void text(const char* key, std::string& target) const
+        {
+            if (const json::value* value = this->object.if_contains(key))
+                target = value->as_string();
+        }
+
+        template <typename Number>
+        void number(const char* key, Number& target) const
+        {
+            if (const json::value* value = this->object.if_contains(key))
+                target = static_cast<Number>(value->to_number<double>());
+        }
+
+        void milliseconds(const char* key, core::Duration& target) const
+        {
+            if (const json::value* value = this->object.if_contains(key))
+                target = std::chrono::milliseconds(static_cast<std::int64_t>(value->to_number<double>()));
+        }
+
+        template <core::Named Enum>
+        void choice(const char* key, Enum& target) const
+        {
+            std::string name;
+            this->text(key, name);
+            target = core::parseName<Enum>(name).value_or(target);
+        }
+
+        void texts(const char* key, std::vector<std::string>& target) const
+        {
+            if (const json::value* value = this->object.if_contains(key)) {
+                for (const json::value& entry : value->as_array())
+                    target.emplace_back(entry.as_string());
+            }
+        }
+
+        Reader section(const char* key) const
+        {
+            static const json::object empty;
+            const json::value* value = this->object.if_contains(key);
+            return Reader(value ? value->as_object() : empty);
+        }
+
+    private:
+        const json::object& object;
+    };
+
+    void readLimits(const Reader& reader, wire::Limits& limits)
+    {
+        reader.number("headerBytes", limits.headerBytes);
+        reader.number("bodyBytes", limits.bodyBytes);
+        reader.number("replayBytes", limits.replayBytes);
+        reader.milliseconds("headerTimeoutMs", limits.headerTimeout);
+        reader.milliseconds("idleTimeoutMs", limits.idleTimeout);
+        reader.milliseconds("progressTimeoutMs", limits.progressTimeout);
+        reader.milliseconds("connectTimeoutMs", limits.connectTimeout);
+        reader.number("connectionsPerCaller", limits.connectionsPerCaller);
+    }
+
+    Settings readAll(const Reader& reader)
+    {
+        Settings settings;
+        EntryVmOptions& vm = settings.vm;
+        reader.text("fleet", vm.fleet);
+        reader.text("name", vm.name);
+        reader.text("failureDomain", vm.domain);
+        reader.text("callerAddress", vm.callerAddress);
+        reader.text("adminAddress", vm.adminAddress);
+        reader.text("peerAddress", vm.peerAddress);
+        reader.text("storeAddress", vm.storeAddress);
+        reader.texts("peers", vm.seeds);
+        reader.number("trafficThreads", vm.trafficThreads);
+        reader.number("seed", vm.seed);
+        reader.choice("chooser", vm.chooser);
+        readLimits(reader.section("limits"), vm.limits);
+        reader.section("shutdown").milliseconds("acceptMs", vm.acceptWhileLeaving);
+        reader.section("shutdown").milliseconds("drainMs", vm.drainLimit);
+        reader.section("log").choice("level", settings.logLevel);
+        reader.section("log").choice("format", settings.logFormat);
+        return settings;
+    }
+
+}
+
+Settings parseSettings(std::string_view text, std::vector<declare::Problem>& problems)
+{
+    json::error_code error;
+    const json::value value = parseText(text, error);
+    if (error) {
+        problems.push_back({ "settings", "not valid JSON: " + error.message() });
+        return {};
+    }
+    const std::size_t before = problems.size();
+    declare::checkKeys("", settingsKeys, value, declare::UnknownKeys::Refuse, problems);
+    return problems.size() == before ? readAll(Reader(value.as_object())) : Settings {};
+}
+
+Settings readSettings(const std::string& path, std::vector<declare::Problem>& problems)
+{
+    std::ifstream file(path);
+    if (!file) {
+        problems.push_back({ path, "can't be read" });
+        return {};
+    }
+    const std::string text(std::istreambuf_iterator<char>(file), {});
+    return parseSettings(text, problems);
+}
+
+bool looksLikeSettings(std::string_view text)
+{
+    json::error_code error;
+    const json::value value = parseText(text, error);
+    return !error && value.is_object() && !value.as_object().contains("kind");
+}
+
+namespace {
+
+    // Writes the message as a JSON string, so that quotes in it do not break the line.
+    class JsonMessage : public spdlog::custom_flag_formatter {
+    public:
+        void format(const spdlog::details::log_msg& message, const std::tm&, spdlog::memory_buf_t& line) override
+        {
+            const std::string text = json::serialize(json::string(json::string_view(message.payload.data(), message.payload.size())));
+            line.append(text.data(), text.data() + text.size());
+        }
+
+        std::unique_ptr<custom_flag_formatter> clone() const override { return std::make_unique<JsonMessage>(); }
+    };
+
+}
+
+void startLogging(LogLevel level, LogFormat format)
+{
+    constexpr std::array levels = { spdlog::level::debug, spdlog::level::info, spdlog::level::warn, spdlog::level::err };
+    static_assert(levels.size() == core::countOf<LogLevel>());
+    spdlog::set_level(levels[static_cast<std::size_t>(level)]);
+    if (format == LogFormat::Json) {
+        auto formatter = std::make_unique<spdlog::pattern_formatter>();
+        formatter->add_flag<JsonMessage>('*').set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","text":%*})");
+        spdlog::set_formatter(std::move(formatter));
+    } else
+        spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+}
+
+}
--- /dev/null
+++ b/src/app/settings.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "app/entry_vm.h"
+#include "declare/schema.h"
+
+#include <string>
+#include <vector>
+
+namespace cranberryshed::app {
+
+enum class LogFormat : std::uint8_t { Text,
+    Json };
+enum class LogLevel : std::uint8_t { Debug,
+    Info,
+    Warning,
+    Error };
+
+// Everything that `serve` is told by its settings file.
+struct Settings {
+    EntryVmOptions vm;
+    LogLevel logLevel = LogLevel::Info;
+    LogFormat logFormat = LogFormat::Text;
+};
+
+// Reads settings: JSON with comments. Every fault is added to `problems`; the result is only usable without any.
+Settings parseSettings(std::string_view text, std::vector<declare::Problem>& problems);
+
+// The same for a file. A file that can't be read is a problem too.
+Settings readSettings(const std::string& path, std::vector<declare::Problem>& problems);
+
+// Whether a text is meant as settings rather than as declarations: an object without "kind".
+bool looksLikeSettings(std::string_view text);
+
+// Sets spdlog's level and line format for the process.
+void startLogging(LogLevel, LogFormat);
+
+}
+
+template <>
+struct cranberryshed::core::Names<cranberryshed::app::LogFormat> {
+    static constexpr std::array<std::string_view, 2> values = { "text", "json" };
+};
+
+template <>
+struct cranberryshed::core::Names<cranberryshed::app::LogLevel> {
+    static constexpr std::array<std::string_view, 4> values = { "debug", "info", "warning", "error" };
+};
--- /dev/null
+++ b/src/declare/keys.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "declare/schema.h"
+
+#include <boost/json/fwd.hpp>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cranberryshed::declare {
+
+// What the value of a key may be.
+enum class Shape : std::uint8_t { Text,
+    Path,
+    Name,
+    NameList,
+    MethodList,
+    PrefixList,
+    Number,
+    Whole,
+    Flag,
+    Time,
+    Endpoint,
+    EndpointList,
+    Choice,
+    Section,
+    ObjectList };
+
+// One key of a JSON object with what is allowed.
+struct Key {
+    std::string_view name;
+    Shape shape = Shape::Text;
+    bool required = false;
+    double least = 0; // of Number and Whole; fewest entries of a list
+    double most = 0; // of Number and Whole
+    std::span<const Key> inner {}; // of Section and ObjectList
+    std::span<const std::string_view> choices {}; // of Choice
+};
+
+// Checks a JSON object against its keys. Adds every fault to `problems`, in the order of the keys; `path` is put
+// before each key.
+void checkKeys(const std::string& path, std::span<const Key> keys, const boost::json::value& value, UnknownKeys, std::vector<Problem>& problems);
+
+}
