Leave a server that refuses connections out for a moment

Change: ServerMemory pauses a server after a failure (50 ms, doubled up to 1 s) if others are left; isolation takes an idle server that did not just fail; the home chooser passes by a reserved server instead of ending its search there. The test's row now reports load and loses more events.

--- a/src/core/slots.h
+++ b/src/core/slots.h
@@ -26,6 +26,9 @@
     // Requests that run there go on. A closed server answers every tryAcquire() with false.
     bool tryReserve() { return (this->taken.fetch_or(reserved, std::memory_order_acq_rel) & reserved) == 0; }
 
+    // Whether the server is closed to other requests.
+    bool isReserved() const { return (this->taken.load(std::memory_order_relaxed) & reserved) != 0; }
+
     // Takes the only slot of a server that the caller has reserved, once no other request runs there.
     bool tryEnterReserved()
     {
--- a/src/request/choose.cpp
+++ b/src/request/choose.cpp
@@ -215,7 +215,7 @@
 {
     const core::ServerEntry& server = request.table.at(index);
     const std::uint32_t own = server.inFlight->inFlight();
-    if (own >= this->lanes.limit(server, request.classEntry.length) || contains(request.excluded, index))
+    if (server.inFlight->isReserved() || own >= this->lanes.limit(server, request.classEntry.length) || contains(request.excluded, index))
         return std::nullopt;
     const Standing standing = this->book.standing(server, request.now);
     if (standing > worst)
--- a/src/request/isolate.cpp
+++ b/src/request/isolate.cpp
@@ -69,13 +69,14 @@
 {
     const Context& context = request.context;
     const Exclusions excluded = this->state.servers.exclusions(*context.table, context.classIndex, request.tried, now);
-    using Rank = std::tuple<bool, std::uint32_t, std::uint64_t, core::ServerIndex>;
+    using Rank = std::tuple<bool, bool, bool, std::uint32_t, std::uint64_t, core::ServerIndex>;
     std::vector<Rank> ranks;
     for (core::ServerIndex index : context.classEntry().servers) {
         const core::ServerEntry& server = context.table->at(index);
         if (!takesWork(server) || std::ranges::find(excluded.servers, index) != excluded.servers.end())
             continue;
-        ranks.emplace_back(!server.home, server.inFlight->inFlight(), core::hashCombine(static_cast<std::uint64_t>(context.fingerprint), server.key), index);
+        const std::uint32_t inFlight = server.inFlight->inFlight();
+        ranks.emplace_back(this->state.servers.failing(server.key, now), inFlight > 0, !server.home, inFlight, core::hashCombine(static_cast<std::uint64_t>(context.fingerprint), server.key), index);
     }
     std::ranges::sort(ranks);
     std::vector<core::ServerIndex> result;
--- a/src/request/servers.cpp
+++ b/src/request/servers.cpp
@@ -23,7 +23,7 @@
         break;
     case core::AttemptResult::ConnectFailed:
     case core::AttemptResult::Broken:
-        this->states[serverKey].failedUntil = now + this->options.failure;
+        this->onFailure(this->states[serverKey], now);
         break;
     case core::AttemptResult::TimedOut:
     case core::AttemptResult::Cancelled:
@@ -31,12 +31,22 @@
     }
 }
 
+// Requests that were sent before the pause began say nothing new.
+void ServerMemory::onFailure(State& state, core::TimePoint now) const
+{
+    state.failedUntil = now + this->options.failure;
+    if (now < state.pauseUntil)
+        return;
+    state.pause = std::clamp(2 * state.pause, this->options.firstPause, this->options.longestPause);
+    state.pauseUntil = now + state.pause;
+}
+
 Exclusions ServerMemory::exclusions(const core::SteeringTable& table, core::ClassIndex classIndex, std::span<const std::uint64_t> tried, core::TimePoint now) const
 {
     const core::ClassEntry& entry = table.at(classIndex);
     const std::vector<bool> failed = this->failedDomains(table, entry, now);
     Exclusions result;
-    std::vector<core::ServerIndex> inFailedDomain;
+    std::vector<core::ServerIndex> lastChoice;
     std::size_t left = 0;
     for (core::ServerIndex index : entry.servers) {
         const core::ServerEntry& server = table.at(index);
@@ -44,16 +54,16 @@
         const bool shedding = state && state->shedUntil > now;
         if (std::ranges::find(tried, server.key) != tried.end() || shedding)
             result.servers.push_back(index);
-        else if (failed[server.domain.value])
-            inFailedDomain.push_back(index);
+        else if (failed[server.domain.value] || (state && state->pauseUntil > now))
+            lastChoice.push_back(index);
         else if (takesWork(server))
             ++left;
         if (shedding && takesWork(server))
             result.retryAfter = std::min(result.retryAfter.value_or(core::Duration::max()), core::Duration(state->shedUntil - now));
     }
     if (left > 0)
-        result.servers.insert(result.servers.end(), inFailedDomain.begin(), inFailedDomain.end());
-    result.anyLeft = left > 0 || std::ranges::any_of(inFailedDomain, [&](core::ServerIndex index) { return takesWork(table.at(index)); });
+        result.servers.insert(result.servers.end(), lastChoice.begin(), lastChoice.end());
+    result.anyLeft = left > 0 || std::ranges::any_of(lastChoice, [&](core::ServerIndex index) { return takesWork(table.at(index)); });
     return result;
 }
 
@@ -62,6 +72,12 @@
     std::erase_if(this->states, [&](const auto& item) { return std::max(item.second.failedUntil, item.second.shedUntil) <= now; });
 }
 
+bool ServerMemory::failing(std::uint64_t serverKey, core::TimePoint now) const
+{
+    const State* state = this->find(serverKey);
+    return state && state->failedUntil > now;
+}
+
 const ServerMemory::State* ServerMemory::find(std::uint64_t serverKey) const
 {
     const auto found = this->states.find(serverKey);
--- a/src/request/servers.h
+++ b/src/request/servers.h
@@ -21,6 +21,10 @@
 public:
     struct Options {
         core::Duration failure = std::chrono::seconds(5); // a failure is remembered this long without a success
+        // A dead server refuses at once and so has free slots all the time. It is left out for this long after a
+        // failure, doubled for each further one.
+        core::Duration firstPause = std::chrono::milliseconds(50);
+        core::Duration longestPause = std::chrono::seconds(1);
         core::Duration shedding = std::chrono::milliseconds(50); // after a refusal without a hint
         core::Duration longestHint = std::chrono::seconds(2); // a longer hint may be a mistake of the server
     };
@@ -32,20 +36,26 @@
 
     void record(std::uint64_t serverKey, core::AttemptResult, std::optional<core::Duration> retryAfter, core::TimePoint now);
 
-    // The servers already tried for a request, those that asked for a pause, and those of a failure domain
-    // that failed as a whole, unless no other domain is left.
+    // The servers already tried for a request and those that asked for a pause; and, unless no other is left,
+    // those that just failed and those of a failure domain that failed as a whole.
     Exclusions exclusions(const core::SteeringTable&, core::ClassIndex, std::span<const std::uint64_t> tried, core::TimePoint now) const;
 
+    // Whether the server's last attempt failed a short while ago.
+    bool failing(std::uint64_t serverKey, core::TimePoint now) const;
+
     // Whether exclusions() without tried servers would be empty.
     bool allWell() const { return this->states.empty(); }
     void forgetExpired(core::TimePoint now);
 
 private:
     struct State {
-        core::TimePoint failedUntil {};
+        core::TimePoint failedUntil {}; // counts as failing
+        core::TimePoint pauseUntil {}; // left out
+        core::Duration pause {};
         core::TimePoint shedUntil {};
     };
 
+    void onFailure(State&, core::TimePoint now) const;
     const State* find(std::uint64_t serverKey) const;
     std::vector<bool> failedDomains(const core::SteeringTable&, const core::ClassEntry&, core::TimePoint now) const;
 
--- a/tests/pure/at_most_once.cpp
+++ b/tests/pure/at_most_once.cpp
@@ -11,21 +11,23 @@
 
 using RealEngine = request::Engine<request::HomeSubset>;
 
-constexpr std::uint64_t seeds = 40;
+constexpr std::uint64_t seeds = 30;
 constexpr std::size_t settleSeconds = 8; // longer than deadline, grace of a cancelled attempt and sweeps
 
 rig::WorldOptions worldOptions()
 {
-    return { .faults = { .doubled = 0.1, .crossed = 0.1, .lost = 0.01, .reordered = 0.02, .jitter = std::chrono::milliseconds(2) } };
+    return { .table = { .servers = 10, .domains = 2, .slots = 2, .deadline = std::chrono::milliseconds(250) }, .server = { .slots = 2, .queueLimit = 3, .restart = std::chrono::milliseconds(100) }, .ejection = std::chrono::milliseconds(200), .faults = { .doubled = 0.1, .crossed = 0.2, .lost = 0.04, .reordered = 0.02, .jitter = std::chrono::milliseconds(2) } };
 }
 
-// Kills and restarts entry VMs and crashes servers at random times of the first three seconds.
+constexpr auto spread = std::chrono::milliseconds(600); // of the jobs' first requests: about half of the row's capacity
+
+// Kills and restarts entry VMs and crashes servers at random times while requests arrive.
 template <typename EngineType>
 void addKills(rig::World<EngineType>& world)
 {
     for (unsigned i = 0; i < 4; ++i) {
         const std::size_t vm = world.random() % world.vms.size();
-        const core::Duration at = world.upTo(std::chrono::seconds(3));
+        const core::Duration at = world.upTo(spread);
         world.scheduler.after(at, [&world, vm] {
             if (world.vms[vm].engine)
                 world.killVm(vm);
@@ -35,23 +37,32 @@
                 world.startVm(vm);
         });
         const std::size_t server = world.random() % world.servers.size();
-        world.scheduler.after(world.upTo(std::chrono::seconds(3)), [&world, server] { world.servers[server]->crash(); });
+        world.scheduler.after(world.upTo(spread), [&world, server] { world.servers[server]->crash(); });
     }
 }
 
 template <typename EngineType>
-void settle(rig::World<EngineType>& world, core::Duration spread)
+void settle(rig::World<EngineType>& world)
 {
     world.scheduler.runUntil(world.scheduler.now() + spread);
     for (std::size_t i = 0; i < settleSeconds; ++i) {
         world.scheduler.runUntil(world.scheduler.now() + std::chrono::seconds(1));
-        world.publish();
     }
 }
 
+// Every other seed sends second attempts very early, so that many requests have two in flight.
+request::EngineOptions engineOptions(std::uint64_t seed)
+{
+    request::EngineOptions options;
+    options.hedge.enabled = seed % 2 == 0;
+    options.hedge.quantile = 0.5;
+    options.hedge.budget = { .share = 0.5, .minimum = 5, .minimumPerSecond = 50, .limit = 50 };
+    return options;
+}
+
 struct Totals {
-    std::size_t jobs = 0;
-    std::size_t answered = 0;
+    double answeredReads = 0; // mean percentage
+    double answeredWrites = 0;
     std::size_t ranTwice = 0;
     std::size_t wronglyNotRun = 0;
     std::size_t wrongEnds = 0;
@@ -65,12 +76,13 @@
 void run(std::uint64_t seed, const typename rig::World<EngineType>::MakeEngine& makeEngine, Totals& totals)
 {
     rig::World<EngineType> world(worldOptions(), seed, makeEngine);
-    const rig::CallerOptions callerOptions { .poison = 0.01, .gone = 0.03 };
+    const rig::CallerOptions callerOptions { .jobs = 600, .spread = spread, .poison = 0.003, .gone = 0.03 };
     rig::Callers<EngineType> callers(world, callerOptions);
     addKills(world);
-    settle(world, callerOptions.spread);
-    totals.jobs += callers.jobs.size();
-    totals.answered += callers.answered();
+    world.publishEvery(std::chrono::milliseconds(100));
+    settle(world);
+    totals.answeredReads += callers.answeredPercent(false) / seeds;
+    totals.answeredWrites += callers.answeredPercent(true) / seeds;
     totals.ranTwice += callers.ranTwice();
     totals.wronglyNotRun += callers.wronglyNotRun();
     totals.wrongEnds += callers.wrongEnds();
@@ -93,7 +105,7 @@
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         CAPTURE(seed);
         run<RealEngine>(
-            seed, [&](std::size_t vm, const request::Shared& shared) { return std::make_unique<RealEngine>(request::EngineOptions {}, request::HomeSubset(), shared, seed * 10 + vm); }, totals);
+            seed, [&](std::size_t vm, const request::Shared& shared) { return std::make_unique<RealEngine>(engineOptions(seed), request::HomeSubset(), shared, seed * 10 + vm); }, totals);
         REQUIRE(totals.ranTwice == 0);
         REQUIRE(totals.wronglyNotRun == 0);
         REQUIRE(totals.wrongEnds == 0);
@@ -102,7 +114,9 @@
         REQUIRE(totals.unfinished == 0);
         REQUIRE(totals.heldSlots == 0);
     }
-    CHECK(totals.answered > totals.jobs * 9 / 10);
+    // A read may be repeated until it is answered. A write whose answer was lost is not.
+    CHECK(totals.answeredReads > 98);
+    CHECK(totals.answeredWrites > 80);
 }
 
 // Shows that the faults above are real: an engine without keys and rules about repetition fails on them.
--- a/tests/rig/callers.h
+++ b/tests/rig/callers.h
@@ -80,9 +80,13 @@
         return count;
     }
 
-    std::size_t answered() const
+    // Answered jobs in percent, of those that crash no server.
+    double answeredPercent(bool write) const
     {
-        return static_cast<std::size_t>(std::ranges::count_if(this->jobs, &Job::answered));
+        const auto counts = [&](const Job& job) { return job.write == write && !job.poison; };
+        const auto all = std::ranges::count_if(this->jobs, counts);
+        const auto answered = std::ranges::count_if(this->jobs, [&](const Job& job) { return counts(job) && job.answered; });
+        return 100.0 * static_cast<double>(answered) / static_cast<double>(all);
     }
 
 private:
@@ -95,15 +99,22 @@
             this->world.scheduler.after(this->world.upTo(std::chrono::milliseconds(20)), [this, index] { this->send(index, this->jobs[index].vm); });
     }
 
+    // A random entry VM that is up.
+    std::size_t anyVm()
+    {
+        const std::size_t count = this->world.vms.size();
+        const std::size_t first = this->world.random() % count;
+        for (std::size_t i = 0; i < count; ++i) {
+            if (this->world.vms[(first + i) % count].engine)
+                return (first + i) % count;
+        }
+        return first;
+    }
+
     // Takes an entry VM that is up and, most of the time, a key from its look-up answer.
     void lookUp(Job& job, bool withKey)
     {
-        const std::size_t first = this->world.random() % this->world.vms.size();
-        for (std::size_t i = 0; i < this->world.vms.size(); ++i) {
-            job.vm = (first + i) % this->world.vms.size();
-            if (this->world.vms[job.vm].engine)
-                break;
-        }
+        job.vm = this->anyVm();
         job.key.clear();
         if (job.write && withKey && this->world.chance(0.8))
             job.key = this->world.vms[job.vm].shared.keys->issue(this->world.scheduler.now());
@@ -112,8 +123,13 @@
     void send(std::size_t index, std::size_t vm)
     {
         Job& job = this->jobs[index];
-        if (job.sends >= this->options.sendLimit || job.answered || !this->world.vms[vm].engine)
+        if (job.sends >= this->options.sendLimit || job.answered)
             return;
+        // A key only works at the entry VM that issued it; anything else goes to one that is up.
+        if (!this->world.vms[vm].engine)
+            vm = this->anyVm();
+        if (!this->world.vms[vm].engine)
+            return this->sendLater(index, vm, std::chrono::milliseconds(50));
         ++job.sends;
         ++job.outstanding;
         request::RequestArrived arrival;
@@ -140,7 +156,7 @@
             return;
         const core::Duration pause = this->world.upTo(std::chrono::milliseconds(40));
         if (!job.write || job.unclear)
-            return this->sendLater(index, this->world.random() % this->world.vms.size(), pause);
+            return this->sendLater(index, this->anyVm(), pause);
         if (job.outstanding > 0)
             return;
         if (outcome.error == core::ErrorKind::KeyRequired)
--- a/tests/rig/row.h
+++ b/tests/rig/row.h
@@ -73,6 +73,8 @@
             work.onEnd(core::AttemptResult::Broken);
     }
 
+    std::uint32_t load() const { return static_cast<std::uint32_t>(this->running.size() + this->waiting.size()); }
+
     bool refusing = false; // answers every request with a refusal
     double slowness = 1; // factor on the time of requests that start now
     unsigned crashes = 0;
--- a/tests/rig/world.h
+++ b/tests/rig/world.h
@@ -25,6 +25,7 @@
     core::Duration oneWay = std::chrono::microseconds(250); // between entry VM and server
     core::Duration gossip = std::chrono::milliseconds(500); // until a crash is known at the other entry VMs
     core::Duration detection = std::chrono::milliseconds(150); // until control ejects a server that refuses connections; 0: never
+    core::Duration ejection = std::chrono::seconds(1); // then traffic tries it again
     Faults faults {};
 };
 
@@ -96,6 +97,15 @@
         vm.engine->setTable(vm.table);
     }
 
+    // Publishes the servers' load reports at this interval from now on.
+    void publishEvery(core::Duration interval)
+    {
+        this->scheduler.after(interval, [this, interval] {
+            this->publish();
+            this->publishEvery(interval);
+        });
+    }
+
     // Kills the process: open requests of callers are lost, servers see closed connections.
     void killVm(std::size_t index)
     {
@@ -150,8 +160,12 @@
             ++next->generation;
             next->suspects = this->suspects;
             next->quarantined = this->quarantined;
-            for (std::size_t s = 0; s < next->servers.size(); ++s)
+            for (std::size_t m = 0; m < next->members.size(); ++m)
+                next->members[m].state = this->vms[m].engine ? core::MemberState::Alive : core::MemberState::Dead;
+            for (std::size_t s = 0; s < next->servers.size(); ++s) {
+                next->servers[s].report = core::LoadReport { .inFlight = this->servers[s]->load(), .receivedAt = this->scheduler.now() };
                 next->servers[s].state = this->ejected.contains(s) ? core::ServerState::Ejected : core::ServerState::Active;
+            }
             vm.table = next;
             vm.engine->setTable(next);
             this->deliver(i, vm.start, request::CapacityChanged {});
@@ -238,7 +252,7 @@
             later(this->upTo(std::chrono::milliseconds(20)), event);
         if (this->chance(this->options.faults.crossed)) {
             EventType crossed = event;
-            crossed.request = core::RequestId { static_cast<std::uint64_t>(event.request) - 1 };
+            crossed.request = core::RequestId { static_cast<std::uint64_t>(event.request) - 1 - this->random() % 8 };
             later(this->upTo(std::chrono::milliseconds(5)), crossed);
         }
     }
@@ -306,7 +320,7 @@
             this->ejected.insert(server);
             this->publish();
         });
-        this->scheduler.after(this->options.detection + std::chrono::seconds(1), [this, server] {
+        this->scheduler.after(this->options.detection + this->options.ejection, [this, server] {
             this->ejected.erase(server);
             this->suspected.erase(server);
             this->publish();
