--- a/tests/pure/lookup.cpp
+++ b/tests/pure/lookup.cpp
@@ -31,6 +31,7 @@
 Fleet makeFleet(std::uint32_t domains, std::uint32_t membersPerDomain)
 {
     Fleet fleet;
+    fleet.table.members.reserve(std::size_t { domains } * membersPerDomain);
     for (std::uint32_t i = 0; i < domains; ++i) {
         const std::string region = "region-" + std::to_string(i / 2);
         if (i % 2 == 0) {
