--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -15,6 +15,8 @@
 };
 
 constexpr std::array rows = {
+    Row { "choice", bench::choice },
+    Row { "headofline", bench::headOfLine },
     Row { "admission", bench::admission },
     Row { "drain", bench::drain },
     Row { "lookup", bench::lookup },
--- a/src/core/errors.h
+++ b/src/core/errors.h
@@ -44,6 +44,8 @@
     HistoryGone,
     BadMessage,
     NotInForce,
+    KeyUnclear,
+    CallerGone,
 };
 
 // What follows from an error kind.
--- a/src/core/table.h
+++ b/src/core/table.h
@@ -94,7 +94,8 @@
     std::vector<MemberEntry> members;
     MemberIndex self;
     bool leaving = false; // this entry VM is shutting down
-    std::unordered_set<std::uint64_t> quarantined; // Fingerprint values
+    std::unordered_set<std::uint64_t> quarantined; // Fingerprint values of requests that are refused
+    std::unordered_set<std::uint64_t> suspects; // Fingerprint values of requests that run in isolation
     std::shared_ptr<const BlockTable> blocks; // empty: no caller is known
     std::shared_ptr<const SiteRanks> ranks;
 
