--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -152,7 +152,6 @@
     std::uint16_t inFlight = 0;
     std::uint16_t meanTime = 0; // of units of 10 us
     std::uint16_t tailLatency = 0; // of units of 10 us
-    std::uint16_t spare = 0;
 
     bool operator==(const PackedClass&) const = default;
 };
--- a/src/wire/peer.cpp
+++ b/src/wire/peer.cpp
@@ -1,53 +1,66 @@
 #include "wire/peer.h"
 
-namespace cranberryshed::wire {
-
-// A first version without transport: the node knows only itself.
-class Peer::Implementation {
-public:
-    explicit Implementation(fleet::NodeOptions options)
-        : address(options.peerAddress)
-        , node(std::move(options), now())
-    {
-    }
-
-    static core::TimePoint now() { return std::chrono::time_point_cast<core::Duration>(std::chrono::steady_clock::now()); }
+#include "wire/asio.h"
+#include "wire/peer_transport.h"
 
-    std::string address;
-    fleet::Node node;
-    PeerCounters counters;
-    std::function<void()> onChange;
-};
+namespace cranberryshed::wire {
 
-Peer::Peer(boost::asio::io_context&, fleet::NodeOptions options)
-    : implementation(std::make_shared<Implementation>(std::move(options)))
+Peer::Peer(boost::asio::io_context& context, const fleet::NodeOptions& options)
+    : transport(std::make_shared<PeerTransport>(context, options))
 {
 }
 
-Peer::~Peer() = default;
+Peer::~Peer()
+{
+    this->transport->close();
+}
 
-void Peer::start(std::function<void()> onChange) { this->implementation->onChange = std::move(onChange); }
+void Peer::start(std::function<void()> onChange)
+{
+    this->transport->start(std::move(onChange));
+}
 
-void Peer::leave() { }
+void Peer::leave()
+{
+    this->transport->drive([](fleet::Node& node, core::TimePoint now, fleet::Outbox& outbox) { node.leave(now, outbox); });
+}
 
-void Peer::stop() { this->implementation->onChange = nullptr; }
+void Peer::stop()
+{
+    this->transport->drive([](fleet::Node& node, core::TimePoint now, fleet::Outbox& outbox) { node.depart(now, outbox); });
+    this->transport->close();
+}
 
 bool Peer::publish(core::Object object)
 {
-    const bool newer = this->implementation->node.publish(std::move(object), Implementation::now());
-    if (newer && this->implementation->onChange)
-        this->implementation->onChange();
+    bool newer = false;
+    this->transport->drive([&](fleet::Node& node, core::TimePoint now, fleet::Outbox&) { newer = node.publish(std::move(object), now); });
     return newer;
 }
 
-void Peer::publish(const fleet::Item&) { }
+void Peer::publish(const fleet::Item& item)
+{
+    this->transport->drive([&](fleet::Node& node, core::TimePoint now, fleet::Outbox&) { node.publish(item, now); });
+}
 
-void Peer::setLoad(core::DomainDigest) { }
+void Peer::setLoad(const core::DomainDigest& load)
+{
+    this->transport->drive([&](fleet::Node& node, core::TimePoint now, fleet::Outbox&) { node.setLoad(load, now); });
+}
 
-const fleet::Node& Peer::node() const { return this->implementation->node; }
+const fleet::Node& Peer::node() const
+{
+    return this->transport->fleetNode();
+}
 
-std::string Peer::address() const { return this->implementation->address; }
+std::string Peer::address() const
+{
+    return this->transport->address();
+}
 
-const PeerCounters& Peer::counters() const { return this->implementation->counters; }
+const PeerCounters& Peer::counters() const
+{
+    return this->transport->counters();
+}
 
 }
--- a/src/wire/peer.h
+++ b/src/wire/peer.h
@@ -18,13 +18,15 @@
     std::uint64_t dropped = 0; // not sent, because a queue was full or the peer was not reachable
 };
 
+class PeerTransport;
+
 // Runs one fleet::Node on the control thread's io_context and carries its messages:
 // datagrams of at most 1,200 bytes, and framed streams for all that is larger.
 class Peer {
 public:
     // Binds the datagram socket and the stream acceptor to `options.peerAddress`; port 0 lets the kernel choose.
     // Throws boost::system::system_error if the address cannot be bound.
-    Peer(boost::asio::io_context&, fleet::NodeOptions);
+    Peer(boost::asio::io_context&, const fleet::NodeOptions&);
     ~Peer();
     Peer(const Peer&) = delete;
     Peer& operator=(const Peer&) = delete;
@@ -41,15 +43,14 @@
     // The same as the functions of Node; what they cause is sent.
     bool publish(core::Object);
     void publish(const fleet::Item&);
-    void setLoad(core::DomainDigest);
+    void setLoad(const core::DomainDigest&);
 
     const fleet::Node& node() const;
     std::string address() const; // "IP:port" that was bound
     const PeerCounters& counters() const;
 
 private:
-    class Implementation;
-    std::shared_ptr<Implementation> implementation;
+    std::shared_ptr<PeerTransport> transport;
 };
 
 }
--- /dev/null
+++ b/src/wire/peer_decode.cpp
@@ -0,0 +1,256 @@
+#include "wire/peer_codec.h"
+
+#include "core/errors.h"
+#include "core/hash.h"
+#include "wire/generated/peer_generated.h"
+
+#include <cstring>
+#include <string>
+
+namespace cranberryshed::wire {
+
+namespace {
+
+    constexpr std::size_t nameLimit = 255; // bytes of a name or an address
+    constexpr flatbuffers::uoffset_t tableLimit = 200'000; // a catalogue of names or a join of a large fleet
+    constexpr flatbuffers::uoffset_t depthLimit = 8;
+    constexpr std::uint32_t refutationLimit = 1U << 31U; // leaves room for the member's own refutation
+
+    [[noreturn]] void refuse(const char* reason)
+    {
+        throw core::Error(core::ErrorKind::BadMessage, std::string("peer message: ") + reason);
+    }
+
+    template <typename Pointer>
+    const auto& require(const Pointer* value)
+    {
+        if (!value)
+            refuse("a field is missing");
+        return *value;
+    }
+
+    // Copies a struct. The verifier of FlatBuffers 2.0 checks the bounds of structs but not their alignment.
+    template <typename Struct>
+    Struct copy(const Struct* value)
+    {
+        Struct result;
+        std::memcpy(&result, static_cast<const void*>(value), sizeof(Struct));
+        return result;
+    }
+
+    std::string text(const flatbuffers::String* value)
+    {
+        if (!value)
+            return {};
+        if (value->size() > nameLimit)
+            refuse("a name is too long");
+        return value->str();
+    }
+
+    fleet::MemberFact readFact(const peer::MemberFact& fact)
+    {
+        if (fact.state() >= core::countOf<core::MemberState>())
+            refuse("a member's state is unknown");
+        if (fact.refutation() >= refutationLimit)
+            refuse("a refutation is out of range");
+        return { .id = fleet::MemberId { fact.id() },
+            .incarnation = core::Incarnation { fact.incarnation() },
+            .refutation = fact.refutation(),
+            .state = static_cast<core::MemberState>(fact.state()) };
+    }
+
+    fleet::ObjectFact readFact(const peer::ObjectFact& fact)
+    {
+        return { .id = fleet::ObjectId { fact.id() }, .version = { .revision = fact.revision(), .version = fact.version() }, .bytes = fact.bytes() };
+    }
+
+    template <typename Fact, typename Vector>
+    std::vector<Fact> readFacts(const Vector* facts)
+    {
+        std::vector<Fact> result;
+        if (!facts)
+            return result;
+        result.reserve(facts->size());
+        for (const auto* fact : *facts)
+            result.push_back(readFact(copy(fact)));
+        return result;
+    }
+
+    template <typename Id, typename Vector>
+    std::vector<Id> readIds(const Vector* ids)
+    {
+        std::vector<Id> result;
+        if (!ids)
+            return result;
+        result.reserve(ids->size());
+        for (auto id : *ids)
+            result.push_back(Id { id });
+        return result;
+    }
+
+    std::vector<std::uint32_t> readHashes(const flatbuffers::Vector<std::uint32_t>* hashes)
+    {
+        if (!hashes)
+            return {};
+        return { hashes->begin(), hashes->end() };
+    }
+
+    fleet::MemberRecord readRecord(const peer::MemberRecord& record)
+    {
+        fleet::MemberRecord result { .fact = readFact(record.fact() ? copy(record.fact()) : peer::MemberFact()),
+            .name = text(record.name()),
+            .peerAddress = text(record.peer_address()),
+            .callerAddress = text(record.caller_address()),
+            .region = text(record.region()),
+            .domain = text(record.domain()) };
+        if (result.fact.id != fleet::MemberId { core::hashBytes(result.name) })
+            refuse("a member's id is not the hash of its name");
+        return result;
+    }
+
+    fleet::ObjectEntry readEntry(const peer::ObjectEntry& entry)
+    {
+        core::Object object { .kind = text(entry.kind()),
+            .name = text(entry.name()),
+            .version = { .revision = entry.revision(), .version = entry.version() },
+            .deleted = entry.deleted(),
+            .content = entry.content() ? entry.content()->str() : std::string() };
+        return { .object = std::make_shared<const core::Object>(std::move(object)), .ageSeconds = entry.age_seconds(), .remainingMs = entry.remaining_ms() };
+    }
+
+    fleet::PackedDigest readDigest(const peer::Digest& digest)
+    {
+        fleet::PackedDigest result { .domain = fleet::NameId { digest.domain() }, .ageMs = digest.age_ms(), .members = digest.members() };
+        for (const peer::ClassLoad* entry : require(digest.classes())) {
+            const peer::ClassLoad load = copy(entry);
+            result.classes.push_back({ .name = fleet::NameId { load.name() },
+                .demand = load.demand(),
+                .rejected = load.rejected(),
+                .inFlight = load.in_flight(),
+                .meanTime = load.mean_time(),
+                .tailLatency = load.tail_latency() });
+        }
+        for (const peer::Capacity* entry : require(digest.capacities())) {
+            const peer::Capacity capacity = copy(entry);
+            result.capacities.push_back({ .service = fleet::NameId { capacity.service() },
+                .region = fleet::NameId { capacity.region() },
+                .slots = capacity.slots(),
+                .busy = capacity.busy() });
+        }
+        return result;
+    }
+
+    fleet::Sync readSync(const peer::Sync& sync)
+    {
+        fleet::Sync result { .members = sync.members(), .objects = sync.objects(), .digests = {} };
+        for (const peer::DigestAge* entry : require(sync.digests())) {
+            const peer::DigestAge age = copy(entry);
+            result.digests.push_back({ .domain = fleet::NameId { age.domain() }, .ageMs = age.age_ms() });
+        }
+        return result;
+    }
+
+    fleet::ObjectPush readPush(const peer::ObjectPush& push)
+    {
+        fleet::ObjectPush result;
+        for (const peer::ObjectEntry* entry : require(push.entries()))
+            result.entries.push_back(readEntry(*entry));
+        return result;
+    }
+
+    fleet::DigestPush readPush(const peer::DigestPush& push)
+    {
+        fleet::DigestPush result;
+        for (const peer::Digest* digest : require(push.digests()))
+            result.digests.push_back(readDigest(*digest));
+        return result;
+    }
+
+    fleet::NamesReply readNames(const peer::NamesReply& reply)
+    {
+        fleet::NamesReply result;
+        for (const flatbuffers::String* name : require(reply.names()))
+            result.names.push_back(text(name));
+        return result;
+    }
+
+    fleet::Body readBody(const peer::Packet& packet)
+    {
+        switch (packet.body_type()) {
+        case peer::Body::Ping:
+            return fleet::Ping { .sequence = packet.body_as_Ping()->sequence() };
+        case peer::Body::Ack:
+            return fleet::Ack { .sequence = packet.body_as_Ack()->sequence(), .from = fleet::MemberId { packet.body_as_Ack()->from() } };
+        case peer::Body::PingRequest: {
+            const peer::PingRequest& body = *packet.body_as_PingRequest();
+            return fleet::PingRequest { .sequence = body.sequence(), .target = fleet::MemberId { body.target() }, .address = text(body.address()) };
+        }
+        case peer::Body::Join:
+            return fleet::Join {};
+        case peer::Body::JoinReply:
+            return fleet::JoinReply {};
+        case peer::Body::RecordsWanted:
+            return fleet::RecordsWanted { .ids = readIds<fleet::MemberId>(packet.body_as_RecordsWanted()->ids()) };
+        case peer::Body::Records:
+            return fleet::Records {};
+        case peer::Body::Sync:
+            return readSync(*packet.body_as_Sync());
+        case peer::Body::Buckets:
+            return fleet::Buckets { .members = readHashes(packet.body_as_Buckets()->members()), .objects = readHashes(packet.body_as_Buckets()->objects()) };
+        case peer::Body::MemberBucket: {
+            const peer::MemberBucket& body = *packet.body_as_MemberBucket();
+            return fleet::MemberBucket { .bucket = body.bucket(), .facts = readFacts<fleet::MemberFact>(body.facts()) };
+        }
+        case peer::Body::ObjectBucket: {
+            const peer::ObjectBucket& body = *packet.body_as_ObjectBucket();
+            return fleet::ObjectBucket { .bucket = body.bucket(), .facts = readFacts<fleet::ObjectFact>(body.facts()) };
+        }
+        case peer::Body::ObjectPush:
+            return readPush(*packet.body_as_ObjectPush());
+        case peer::Body::ObjectAnnounce: {
+            const peer::ObjectAnnounce& body = *packet.body_as_ObjectAnnounce();
+            return fleet::ObjectAnnounce { .facts = readFacts<fleet::ObjectFact>(body.facts()), .catalogue = body.catalogue() };
+        }
+        case peer::Body::ObjectsWanted:
+            return fleet::ObjectsWanted { .ids = readIds<fleet::ObjectId>(packet.body_as_ObjectsWanted()->ids()) };
+        case peer::Body::CatalogueWanted:
+            return fleet::CatalogueWanted {};
+        case peer::Body::LoadReport:
+            return fleet::LoadReport { .load = readDigest(require(packet.body_as_LoadReport()->load())) };
+        case peer::Body::DigestPush:
+            return readPush(*packet.body_as_DigestPush());
+        case peer::Body::DigestsWanted:
+            return fleet::DigestsWanted { .domains = readIds<fleet::NameId>(packet.body_as_DigestsWanted()->domains()) };
+        case peer::Body::NamesWanted:
+            return fleet::NamesWanted { .ids = readIds<fleet::NameId>(packet.body_as_NamesWanted()->ids()) };
+        case peer::Body::NamesReply:
+            return readNames(*packet.body_as_NamesReply());
+        case peer::Body::NONE:
+            break;
+        }
+        refuse("the body is missing or unknown");
+    }
+
+}
+
+fleet::Message decodePeerMessage(std::span<const std::uint8_t> bytes)
+{
+    if (bytes.size() < 2 * sizeof(flatbuffers::uoffset_t) || bytes.size() > frameLimit)
+        refuse("the size is out of range");
+    flatbuffers::Verifier verifier(bytes.data(), bytes.size(), depthLimit, tableLimit);
+    if (!peer::VerifyPacketBuffer(verifier))
+        refuse("the buffer is not valid");
+    const peer::Packet& packet = *peer::GetPacket(bytes.data());
+    if (!packet.body())
+        refuse("the body is missing");
+    fleet::Message message { .fleet = packet.fleet(), .sender = fleet::MemberId { packet.sender() }, .senderAddress = text(packet.sender_address()) };
+    message.facts = readFacts<fleet::MemberFact>(packet.facts());
+    if (packet.records()) {
+        for (const peer::MemberRecord* record : *packet.records())
+            message.records.push_back(readRecord(*record));
+    }
+    message.body = readBody(packet);
+    return message;
+}
+
+}
--- /dev/null
+++ b/src/wire/peer_encode.cpp
@@ -0,0 +1,165 @@
+#include "wire/peer_codec.h"
+
+#include "wire/generated/peer_generated.h"
+
+#include <utility>
+
+namespace cranberryshed::wire {
+
+namespace {
+
+    using Builder = flatbuffers::FlatBufferBuilder;
+    using Packed = std::pair<peer::Body, flatbuffers::Offset<void>>;
+
+    template <typename Id>
+    auto raw(Id id) { return static_cast<std::underlying_type_t<Id>>(id); }
+
+    template <typename Id>
+    auto packIds(Builder& builder, const std::vector<Id>& ids)
+    {
+        std::vector<std::underlying_type_t<Id>> values;
+        values.reserve(ids.size());
+        for (Id id : ids)
+            values.push_back(raw(id));
+        return builder.CreateVector(values);
+    }
+
+    peer::MemberFact packFact(const fleet::MemberFact& fact)
+    {
+        return { raw(fact.id), raw(fact.incarnation), fact.refutation, static_cast<std::uint8_t>(fact.state) };
+    }
+
+    peer::ObjectFact packFact(const fleet::ObjectFact& fact)
+    {
+        return { raw(fact.id), fact.version.revision, fact.version.version, fact.bytes };
+    }
+
+    template <typename Fact>
+    auto packFacts(Builder& builder, const std::vector<Fact>& facts)
+    {
+        std::vector<decltype(packFact(std::declval<Fact>()))> values;
+        values.reserve(facts.size());
+        for (const Fact& fact : facts)
+            values.push_back(packFact(fact));
+        return builder.CreateVectorOfStructs(values);
+    }
+
+    auto packRecords(Builder& builder, const std::vector<fleet::MemberRecord>& records)
+    {
+        std::vector<flatbuffers::Offset<peer::MemberRecord>> values;
+        values.reserve(records.size());
+        for (const fleet::MemberRecord& record : records) {
+            const peer::MemberFact fact = packFact(record.fact);
+            // Regions and failure domains repeat, so their strings are shared.
+            const auto name = builder.CreateString(record.name);
+            const auto peerAddress = builder.CreateString(record.peerAddress);
+            const auto callerAddress = builder.CreateString(record.callerAddress);
+            const auto region = builder.CreateSharedString(record.region);
+            const auto domain = builder.CreateSharedString(record.domain);
+            values.push_back(peer::CreateMemberRecord(builder, &fact, name, peerAddress, callerAddress, region, domain));
+        }
+        return builder.CreateVector(values);
+    }
+
+    flatbuffers::Offset<peer::ObjectEntry> packEntry(Builder& builder, const fleet::ObjectEntry& entry)
+    {
+        const core::Object& object = *entry.object;
+        const auto content = builder.CreateString(object.content);
+        const auto name = builder.CreateString(object.name);
+        const auto kind = builder.CreateSharedString(object.kind);
+        return peer::CreateObjectEntry(
+            builder, kind, name, object.version.revision, object.version.version, object.deleted, content, entry.ageSeconds, entry.remainingMs);
+    }
+
+    flatbuffers::Offset<peer::Digest> packDigest(Builder& builder, const fleet::PackedDigest& digest)
+    {
+        std::vector<peer::ClassLoad> classes;
+        for (const fleet::PackedClass& load : digest.classes)
+            classes.emplace_back(raw(load.name), load.demand, load.rejected, load.inFlight, load.meanTime, load.tailLatency);
+        std::vector<peer::Capacity> capacities;
+        for (const fleet::PackedCapacity& capacity : digest.capacities)
+            capacities.emplace_back(raw(capacity.service), raw(capacity.region), capacity.slots, capacity.busy);
+        const auto classVector = builder.CreateVectorOfStructs(classes);
+        const auto capacityVector = builder.CreateVectorOfStructs(capacities);
+        return peer::CreateDigest(builder, raw(digest.domain), digest.ageMs, digest.members, classVector, capacityVector);
+    }
+
+    // One function per body; the union's type comes from the table that it builds.
+    struct PackBody {
+        Builder& builder;
+
+        template <typename Table>
+        Packed finish(flatbuffers::Offset<Table> offset) const
+        {
+            // Copied, because the generated constant has no definition that a reference could bind to.
+            const peer::Body type = peer::BodyTraits<Table>::enum_value;
+            return { type, offset.Union() };
+        }
+
+        Packed operator()(const fleet::Ping& body) const { return this->finish(peer::CreatePing(this->builder, body.sequence)); }
+        Packed operator()(const fleet::Ack& body) const { return this->finish(peer::CreateAck(this->builder, body.sequence, raw(body.from))); }
+        Packed operator()(const fleet::PingRequest& body) const
+        {
+            const auto address = this->builder.CreateString(body.address);
+            return this->finish(peer::CreatePingRequest(this->builder, body.sequence, raw(body.target), address));
+        }
+        Packed operator()(const fleet::Join&) const { return this->finish(peer::CreateJoin(this->builder)); }
+        Packed operator()(const fleet::JoinReply&) const { return this->finish(peer::CreateJoinReply(this->builder)); }
+        Packed operator()(const fleet::RecordsWanted& body) const { return this->finish(peer::CreateRecordsWanted(this->builder, packIds(this->builder, body.ids))); }
+        Packed operator()(const fleet::Records&) const { return this->finish(peer::CreateRecords(this->builder)); }
+        Packed operator()(const fleet::Sync& body) const
+        {
+            std::vector<peer::DigestAge> ages;
+            for (const fleet::Sync::DigestAge& age : body.digests)
+                ages.emplace_back(raw(age.domain), age.ageMs);
+            const auto vector = this->builder.CreateVectorOfStructs(ages);
+            return this->finish(peer::CreateSync(this->builder, body.members, body.objects, vector));
+        }
+        Packed operator()(const fleet::Buckets& body) const
+        {
+            const auto members = body.members.empty() ? 0 : this->builder.CreateVector(body.members);
+            const auto objects = body.objects.empty() ? 0 : this->builder.CreateVector(body.objects);
+            return this->finish(peer::CreateBuckets(this->builder, members, objects));
+        }
+        Packed operator()(const fleet::MemberBucket& body) const { return this->finish(peer::CreateMemberBucket(this->builder, body.bucket, packFacts(this->builder, body.facts))); }
+        Packed operator()(const fleet::ObjectBucket& body) const { return this->finish(peer::CreateObjectBucket(this->builder, body.bucket, packFacts(this->builder, body.facts))); }
+        Packed operator()(const fleet::ObjectPush& body) const
+        {
+            std::vector<flatbuffers::Offset<peer::ObjectEntry>> entries;
+            for (const fleet::ObjectEntry& entry : body.entries)
+                entries.push_back(packEntry(this->builder, entry));
+            return this->finish(peer::CreateObjectPush(this->builder, this->builder.CreateVector(entries)));
+        }
+        Packed operator()(const fleet::ObjectAnnounce& body) const
+        {
+            return this->finish(peer::CreateObjectAnnounce(this->builder, packFacts(this->builder, body.facts), body.catalogue));
+        }
+        Packed operator()(const fleet::ObjectsWanted& body) const { return this->finish(peer::CreateObjectsWanted(this->builder, packIds(this->builder, body.ids))); }
+        Packed operator()(const fleet::CatalogueWanted&) const { return this->finish(peer::CreateCatalogueWanted(this->builder)); }
+        Packed operator()(const fleet::LoadReport& body) const { return this->finish(peer::CreateLoadReport(this->builder, packDigest(this->builder, body.load))); }
+        Packed operator()(const fleet::DigestPush& body) const
+        {
+            std::vector<flatbuffers::Offset<peer::Digest>> digests;
+            for (const fleet::PackedDigest& digest : body.digests)
+                digests.push_back(packDigest(this->builder, digest));
+            return this->finish(peer::CreateDigestPush(this->builder, this->builder.CreateVector(digests)));
+        }
+        Packed operator()(const fleet::DigestsWanted& body) const { return this->finish(peer::CreateDigestsWanted(this->builder, packIds(this->builder, body.domains))); }
+        Packed operator()(const fleet::NamesWanted& body) const { return this->finish(peer::CreateNamesWanted(this->builder, packIds(this->builder, body.ids))); }
+        Packed operator()(const fleet::NamesReply& body) const { return this->finish(peer::CreateNamesReply(this->builder, this->builder.CreateVectorOfStrings(body.names))); }
+    };
+
+}
+
+std::vector<std::uint8_t> encodePeerMessage(const fleet::Message& message)
+{
+    Builder builder(datagramLimit);
+    const auto [type, body] = std::visit(PackBody { builder }, message.body);
+    const auto address = message.senderAddress.empty() ? 0 : builder.CreateString(message.senderAddress);
+    const auto facts = message.facts.empty() ? 0 : packFacts(builder, message.facts);
+    const auto records = message.records.empty() ? 0 : packRecords(builder, message.records);
+    builder.Finish(peer::CreatePacket(builder, message.fleet, raw(message.sender), address, facts, records, type, body), peer::PacketIdentifier());
+    return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
+}
+
+}
