Test the whole path over loopback and limit connections per caller

Cause: the front end had no test; a slow header was answered by a closed connection instead of an error, because the stream's timeout closes it.

--- a/src/app/server_standin.cpp
+++ b/src/app/server_standin.cpp
@@ -229,8 +229,9 @@
     {
         const std::string workId(request["X-Work-Id"]);
         const std::uint64_t size = numberField(request, "X-Work-Bytes");
+        const std::uint64_t breakAt = numberField(request, "X-Work-Break-At");
         std::string text = "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nX-Work-Id: " + workId
-            + "\r\nX-Server: " + this->options.name + "\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n";
+            + "\r\nX-Server: " + this->options.name + "\r\nX-Body-Length: " + std::to_string(request.body().size()) + "\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n";
         for (std::uint64_t position = 0; position < size || !text.empty();) {
             const std::uint64_t piece = std::min<std::uint64_t>(pieceSize, size - position);
             for (std::uint64_t i = 0; i < piece; ++i)
@@ -240,6 +241,10 @@
                 co_return;
             position += piece;
             text.clear();
+            if (breakAt > 0 && position >= breakAt) {
+                connection.stream.close();
+                co_return;
+            }
         }
     }
 
--- a/src/app/server_standin.h
+++ b/src/app/server_standin.h
@@ -45,6 +45,8 @@
 //   X-Work-Us      service time in microseconds
 //   X-Work-Bytes   size of the answer's body; its bytes repeat the work id
 //   X-Work-Crash   the server breaks all its connections when this work starts
+//   X-Work-Break-At  the connection is closed after so many bytes of the body
+// The answer states the request body's length in X-Body-Length.
 // `GET /health` states its load. All calls are made on the io_context's thread, or before it runs.
 class ServerStandIn {
 public:
--- a/src/app/store_sync.cpp
+++ b/src/app/store_sync.cpp
@@ -58,7 +58,9 @@
                 this->takeObject(object);
         }
     };
-    const auto onUp = [this](bool isUp) {
+    const auto onUp = [this, active = this->activeFlag](bool isUp) {
+        if (!*active)
+            return;
         this->up = isUp;
         wire::log(core::LogPart::Platform, isUp ? spdlog::level::info : spdlog::level::warn, "{}", isUp ? "the store answers" : "the store does not answer");
     };
--- a/src/wire/session.cpp
+++ b/src/wire/session.cpp
@@ -17,15 +17,12 @@
 namespace {
 
     constexpr std::string_view lookupPath = "/v1/entry";
+    constexpr core::Duration refusalTimeout = std::chrono::seconds(1);
     constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
-    core::CallerAddress callerAddress(const Socket& socket)
+    core::CallerAddress callerAddress(const asio::ip::address& address)
     {
-        error_code error;
-        const tcp::endpoint remote = socket.remote_endpoint(error);
-        if (error || !remote.address().is_v4())
-            return core::CallerAddress {};
-        return core::CallerAddress { remote.address().to_v4().to_uint() };
+        return core::CallerAddress { address.is_v4() ? address.to_v4().to_uint() : 0 };
     }
 
     bool isLookup(const RequestHeader& header)
@@ -39,17 +36,18 @@
 // One caller connection. Owned by the coroutines that run on it.
 class Session : public std::enable_shared_from_this<Session> {
 public:
-    Session(Worker& owner, Socket socket)
+    Session(Worker& owner, Socket socket, const asio::ip::address& callerIp)
         : worker(owner)
         , stream(std::move(socket))
-        , caller(callerAddress(this->stream.socket()))
+        , address(callerIp)
+        , caller(callerAddress(callerIp))
+        , readTimer(owner.executor())
     {
         error_code ignored;
         this->stream.socket().set_option(tcp::no_delay(true), ignored);
-        this->worker.connectionOpened();
     }
 
-    ~Session() { this->worker.connectionClosed(); }
+    ~Session() { this->worker.connectionLimit().close(this->address); }
 
     // Serves requests until one of them ends the connection.
     Task<void> run()
@@ -68,7 +66,7 @@
         this->parser->header_limit(this->worker.limits().headerBytes);
         this->parser->body_limit(this->worker.limits().bodyBytes);
         if (const error_code error = co_await this->readHeader()) {
-            if (this->parser->got_some() && error != asio::error::operation_aborted)
+            if (this->parser->got_some())
                 co_await this->writeLast(errorResponse(parseErrorKind(error)));
             co_return false;
         }
@@ -98,8 +96,30 @@
             co_return parseError;
         if (this->parser->is_header_done())
             co_return error_code();
-        this->stream.expires_after(this->worker.limits().headerTimeout);
-        co_return co_await feedHeader(this->stream, this->buffer, *this->parser);
+        this->startReadTimer(this->worker.limits().headerTimeout);
+        const error_code error = co_await feedHeader(this->stream, this->buffer, *this->parser);
+        co_return this->stopReadTimer(error);
+    }
+
+    // The stream's own timeout closes the socket, so that no answer could be sent. This one only ends the read.
+    void startReadTimer(core::Duration limit)
+    {
+        this->stream.expires_never();
+        this->readTimer.expires_after(limit);
+        this->readTimedOut = false;
+        this->readTimer.async_wait([self = this->shared_from_this()](error_code error) {
+            if (error)
+                return;
+            self->readTimedOut = true;
+            self->stream.cancel();
+        });
+    }
+
+    // Returns the error of the read, or that its time was over.
+    error_code stopReadTimer(error_code error)
+    {
+        this->readTimer.cancel();
+        return this->readTimedOut && error ? make_error_code(beast::error::timeout) : error;
     }
 
     Task<bool> answerLookup()
@@ -149,8 +169,10 @@
             auto& body = this->parser->get().body();
             body.data = exchange.bodyStart.data() + before;
             body.size = exchange.bodyStart.size() - before;
-            this->stream.expires_after(this->worker.limits().progressTimeout);
-            const error_code error = co_await feed(this->stream, this->buffer, *this->parser);
+            if (this->buffer.size() == 0)
+                this->startReadTimer(this->worker.limits().progressTimeout);
+            const error_code readError = co_await feed(this->stream, this->buffer, *this->parser);
+            const error_code error = this->stopReadTimer(readError);
             exchange.bodyStart.resize(exchange.bodyStart.size() - body.size);
             if (error && error != http::error::need_buffer)
                 co_return error;
@@ -298,18 +320,33 @@
 
     Worker& worker;
     Stream stream;
+    asio::ip::address address;
     core::CallerAddress caller;
     beast::flat_buffer buffer;
     std::shared_ptr<CallerParser> parser; // shared with attempts that end after their request
+    Timer readTimer;
+    bool readTimedOut = false;
     std::weak_ptr<Exchange> watched;
     bool watching = false; // an async_wait for the caller's socket is outstanding
 };
 
-void serveConnection(Worker& worker, Socket socket)
+void serveConnection(Worker& worker, Socket socket, const asio::ip::address& caller)
 {
-    const std::shared_ptr<Session> session = std::make_shared<Session>(worker, std::move(socket));
+    const std::shared_ptr<Session> session = std::make_shared<Session>(worker, std::move(socket), caller);
     asio::co_spawn(
         worker.executor(), [session]() -> Task<void> { co_await session->run(); }, asio::detached);
 }
 
+Task<void> refuseConnection(Socket socket)
+{
+    Stream stream(std::move(socket));
+    TextResponse response = errorResponse(core::ErrorKind::TooManyConnections);
+    response.keep_alive(false);
+    response.prepare_payload();
+    stream.expires_after(refusalTimeout);
+    co_await http::async_write(stream, response, useResult);
+    error_code ignored;
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 }
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -195,10 +195,22 @@
             continue;
         }
         ++this->trafficMetrics.connections;
-        serveConnection(*this, std::move(socket));
+        this->admit(std::move(socket));
     }
 }
 
+void Worker::admit(Socket socket)
+{
+    error_code error;
+    const asio::ip::address address = socket.remote_endpoint(error).address();
+    if (error)
+        return;
+    if (this->options.connectionLimit->tryOpen(address))
+        serveConnection(*this, std::move(socket), address);
+    else
+        asio::co_spawn(*this->context, refuseConnection(std::move(socket)), asio::detached);
+}
+
 Task<void> Worker::closeIdleLoop()
 {
     Timer timer(this->executor());
--- a/src/wire/worker.h
+++ b/src/wire/worker.h
@@ -4,6 +4,7 @@
 #include "request/engine.h"
 #include "request/selected_chooser.h"
 #include "wire/asio.h"
+#include "wire/connection_limit.h"
 #include "wire/exchange.h"
 #include "wire/limits.h"
 #include "wire/pool.h"
@@ -29,6 +30,7 @@
         Limits limits;
         TrafficEngine::Options engine;
         request::Shared shared; // the same for all workers of a process
+        std::shared_ptr<ConnectionLimit> connectionLimit; // likewise
         std::function<void(request::Observations)> observe; // called on the worker's thread, in batches
         Pool::Options pool;
     };
@@ -74,13 +76,12 @@
     void begin(const std::shared_ptr<Exchange>& exchange) { this->exchanges.emplace(exchange->id, exchange); }
     void end(core::RequestId request);
     std::size_t inFlight() const { return this->exchanges.size(); }
-    void connectionOpened() { ++this->connectionCount; }
-    void connectionClosed() { --this->connectionCount; }
-    std::size_t openConnections() const { return this->connectionCount; }
+    ConnectionLimit& connectionLimit() { return *this->options.connectionLimit; }
 
 private:
     Task<void> acceptLoop(std::shared_ptr<Acceptor>);
     Task<void> closeIdleLoop();
+    void admit(Socket);
 
     void execute(const request::SendAttempt&);
     void execute(const request::CancelAttempt&);
@@ -104,7 +105,6 @@
     request::Observations observations; // not yet passed to control
     Timer observationTimer;
     std::uint64_t lastRequest = 0;
-    std::size_t connectionCount = 0;
     bool closing = false;
     std::thread thread;
 };
--- /dev/null
+++ b/tests/io/vm_fixture.h
@@ -0,0 +1,206 @@
+#pragma once
+
+#include "app/entry_vm.h"
+#include "app/server_standin.h"
+#include "core/errors.h"
+#include "platform/standin.h"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <vector>
+
+namespace cranberryshed::test {
+
+namespace asio = boost::asio;
+
+// An answer as it came over the wire.
+struct RawAnswer {
+    std::string head; // up to the empty line
+    std::string body;
+    bool whole = false; // the body is as long as the header says
+
+    int status() const { return this->head.size() > 12 ? std::stoi(this->head.substr(9, 3)) : 0; }
+
+    // The value of a header field, or an empty text.
+    std::string field(const std::string& name) const
+    {
+        const std::size_t at = this->head.find("\r\n" + name + ": ");
+        if (at == std::string::npos)
+            return {};
+        const std::size_t begin = at + name.size() + 4;
+        return this->head.substr(begin, this->head.find("\r\n", begin) - begin);
+    }
+};
+
+// A blocking connection that sends exactly the given bytes.
+class RawClient {
+public:
+    explicit RawClient(const std::string& address)
+        : socket(this->context)
+    {
+        const std::size_t colon = address.rfind(':');
+        this->socket.connect({ asio::ip::make_address(address.substr(0, colon)), static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))) });
+        const timeval limit { .tv_sec = 20, .tv_usec = 0 };
+        ::setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    }
+
+    void send(std::string_view bytes)
+    {
+        boost::system::error_code ignored;
+        asio::write(this->socket, asio::buffer(bytes), ignored);
+    }
+
+    RawAnswer receive()
+    {
+        RawAnswer answer;
+        std::size_t end = std::string::npos;
+        while ((end = this->pending.find("\r\n\r\n")) == std::string::npos) {
+            if (!this->readMore())
+                return answer;
+        }
+        answer.head = this->pending.substr(0, end + 2);
+        this->pending.erase(0, end + 4);
+        const std::string length = answer.field("Content-Length");
+        const std::size_t expected = length.empty() ? 0 : std::stoull(length);
+        while (this->pending.size() < expected && this->readMore()) {
+        }
+        answer.whole = this->pending.size() >= expected;
+        answer.body = this->pending.substr(0, expected);
+        this->pending.erase(0, answer.body.size());
+        return answer;
+    }
+
+    RawAnswer ask(std::string_view bytes)
+    {
+        this->send(bytes);
+        return this->receive();
+    }
+
+    // Whether the other side has closed the connection without another byte.
+    bool closed()
+    {
+        return this->pending.empty() && !this->readMore();
+    }
+
+private:
+    bool readMore()
+    {
+        std::array<char, 65536> piece;
+        const ssize_t count = ::recv(this->socket.native_handle(), piece.data(), piece.size(), 0);
+        if (count <= 0)
+            return false;
+        this->pending.append(piece.data(), static_cast<std::size_t>(count));
+        return true;
+    }
+
+    asio::io_context context;
+    asio::ip::tcp::socket socket;
+    std::string pending;
+};
+
+inline std::string get(const std::string& target, const std::string& fields = {})
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: test\r\n" + fields + "\r\n";
+}
+
+inline std::string post(const std::string& target, const std::string& body, const std::string& fields = {})
+{
+    return "POST " + target + " HTTP/1.1\r\nHost: test\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + fields + "\r\n" + body;
+}
+
+// A platform stand-in, backend servers and entry VMs in this process, with two declared classes:
+// `stock` (GET /stock/, idempotent), `order` (POST /orders/, not idempotent) and `archive` (GET /archives/, long).
+class VmFixture {
+public:
+    explicit VmFixture(std::uint32_t serverCount = 2)
+        : store(this->context)
+    {
+        spdlog::set_level(spdlog::level::err);
+        this->declare("region", "north", R"({"links":[]})");
+        this->declare("domain", "north-1", R"({"region":"north","delayMs":1})");
+        this->declareClass("stock", "GET", "/stock/", "idempotent", "short");
+        this->declareClass("order", "POST", "/orders/", "non-idempotent", "short");
+        this->declareClass("archive", "GET", "/archives/", "idempotent", "long");
+        this->declareClass("upload", "PUT", "/uploads/", "idempotent", "short");
+        for (std::uint32_t i = 0; i < serverCount; ++i)
+            this->servers.push_back(std::make_unique<app::ServerStandIn>(this->context, app::ServerStandInOptions { .name = "server-" + std::to_string(i + 1), .runs = this->runs }));
+        this->listServers();
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+
+    ~VmFixture()
+    {
+        this->vms.clear();
+        this->work.reset();
+        this->context.stop();
+        this->thread.join();
+    }
+
+    app::EntryVmOptions vmOptions(const std::string& name) const
+    {
+        app::EntryVmOptions options;
+        options.name = name;
+        options.domain = "north-1";
+        options.storeAddress = this->store.endpoint();
+        options.seed = 1;
+        options.acceptWhileLeaving = std::chrono::milliseconds(200);
+        options.drainLimit = std::chrono::seconds(20);
+        if (!this->vms.empty())
+            options.seeds = { this->vms.front()->peerAddress() };
+        return options;
+    }
+
+    app::EntryVm& startVm(const app::EntryVmOptions& options)
+    {
+        this->vms.push_back(std::make_unique<app::EntryVm>(options));
+        this->vms.back()->start();
+        return *this->vms.back();
+    }
+
+    // Waits until the entry VM names an entry VM for the class. Returns the look-up's answer.
+    static RawAnswer waitForLookup(const std::string& address, const std::string& className = "stock")
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        for (;;) {
+            RawAnswer answer = RawClient(address).ask(get("/v1/entry?class=" + className));
+            if ((answer.status() == 200 && answer.body.find("address\":") != std::string::npos) || std::chrono::steady_clock::now() > end)
+                return answer;
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+    }
+
+    void declare(const std::string& kind, const std::string& name, const std::string& content)
+    {
+        core::Object object { .kind = kind, .name = name, .version = { .revision = ++this->revision, .version = 0 }, .deleted = false, .content = content };
+        this->store.put(object, 0);
+    }
+
+    void declareClass(const std::string& name, const std::string& method, const std::string& path, const std::string& repeat, const std::string& length)
+    {
+        this->declare("class", name, R"({"service":"shop","methods":[")" + method + R"("],"pathPrefix":")" + path + R"(","repeat":")" + repeat + R"(","length":")" + length + R"(","deadlineMs":20000})");
+        this->declare("target", name, R"({"class":")" + name + R"(","latencyMs":100,"headroomPercent":0,"shiftCapPercentPerMinute":100})");
+    }
+
+    void listServers()
+    {
+        std::vector<core::ServerListing> rows;
+        for (const auto& server : this->servers)
+            rows.push_back({ .name = server->name(), .address = server->address(), .service = "shop", .batch = "first", .domain = "north-1" });
+        this->store.setServers(std::move(rows));
+    }
+
+    asio::io_context context { 1 };
+    asio::executor_work_guard<asio::io_context::executor_type> work = asio::make_work_guard(this->context);
+    std::shared_ptr<app::RunCounter> runs = std::make_shared<app::RunCounter>();
+    platform::StandIn store;
+    std::vector<std::unique_ptr<app::ServerStandIn>> servers;
+    std::vector<std::unique_ptr<app::EntryVm>> vms;
+    std::uint64_t revision = 0;
+    std::thread thread;
+};
+
+}
