--- a/src/request/book.cpp
+++ b/src/request/book.cpp
@@ -7,13 +7,9 @@
 
 namespace cranberryshed::request {
 
-namespace {
-
-    bool mayGetWork(const core::ServerEntry& server)
-    {
-        return (server.state == core::ServerState::Active || server.state == core::ServerState::Warming) && server.warmth > 0;
-    }
-
+bool mayGetWork(const core::ServerEntry& server)
+{
+    return (server.state == core::ServerState::Active || server.state == core::ServerState::Warming) && server.warmth > 0;
 }
 
 void ServerBook::refresh(const core::SteeringTable& table)
--- a/src/request/book.h
+++ b/src/request/book.h
@@ -20,6 +20,9 @@
     core::AttemptResult result = core::AttemptResult::Answered;
 };
 
+// Whether the table lets the server have new work.
+bool mayGetWork(const core::ServerEntry&);
+
 // The backend servers of one class in one region that may get work.
 struct ServerGroup {
     core::RegionIndex region;
--- a/src/request/choose.cpp
+++ b/src/request/choose.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr std::size_t latencySample = 8; // servers that LeastLatency compares
+    constexpr double probePenalty = 1; // servers outside the home part are probed only if all others are busy
     constexpr std::size_t suspectPenalty = 100; // more than any count of requests at one server
 
     bool contains(std::span<const core::ServerIndex> list, core::ServerIndex index)
@@ -196,7 +197,7 @@
 {
     for (core::ServerIndex index : this->book.recent(request.group.rest.front())) {
         const core::ServerEntry& server = request.table.at(index);
-        if (server.region != request.group.region || server.inFlight->inFlight() > 0)
+        if (!mayGetWork(server) || server.region != request.group.region || server.inFlight->inFlight() > 0)
             continue;
         if (this->score(request, index, Standing::Usable) && server.inFlight->tryAcquire(this->lanes.limit(server, request.classEntry.length)))
             return index;
@@ -215,7 +216,9 @@
     std::size_t turn = this->nextRest;
     for (std::size_t i = 0; i < tries; ++i) {
         const std::size_t position = this->nextRest++ % rest.size();
-        const std::optional<double> candidate = this->score(request, rest[position], Standing::Probing);
+        std::optional<double> candidate = this->score(request, rest[position], Standing::Probing);
+        if (candidate && this->book.standing(request.table.at(rest[position]), request.now) == Standing::Probing)
+            *candidate += probePenalty;
         if (!candidate || *candidate >= bestScore)
             continue;
         best = rest[position];
--- a/src/request/outlier.cpp
+++ b/src/request/outlier.cpp
@@ -113,10 +113,10 @@
 {
     server.strikes = 0;
     const auto allowed = static_cast<std::size_t>(this->options.largestShareOut * static_cast<double>(this->servers.size()));
-    if (!server.probing && this->ejectedCount(now) >= allowed)
-        return;
     if (now < server.ejectedUntil)
         return; // this attempt was already running when the server was ejected
+    if (this->ejectedCount(now) >= allowed)
+        return; // a server that is being probed still gets one request at a time
     const std::uint32_t doublings = std::min(server.ejections, 16U);
     server.ejectedUntil = now + std::min(this->options.firstEjection * (1 << doublings), this->options.longestEjection);
     server.probing = true;
--- /dev/null
+++ b/tests/pure/lanes.cpp
@@ -0,0 +1,81 @@
+#include "request/lanes.h"
+
+#include <catch2/catch.hpp>
+
+namespace core = cranberryshed::core;
+namespace request = cranberryshed::request;
+using namespace std::chrono_literals;
+
+// Guards against archives that take every slot of a server.
+TEST_CASE("long work leaves a slot of each server to short work", "[lanes]")
+{
+    core::RandomEngine random(1);
+    for (int i = 0; i < 2000; ++i) {
+        core::ServerEntry server;
+        server.slots = 2 + random() % 7;
+        server.key = random();
+        const request::LaneLimits lanes = request::LaneLimits::forDemand(static_cast<double>(random() % 101) / 100);
+        const std::uint32_t longLimit = lanes.limit(server, core::WorkLength::Long);
+        CHECK(longLimit >= 1);
+        CHECK(longLimit < server.slots);
+        CHECK(lanes.limit(server, core::WorkLength::Short) == server.slots);
+    }
+}
+
+// Guards against a part that does not follow demand.
+TEST_CASE("the part of long work moves with demand", "[lanes]")
+{
+    request::LaneDemand demand(10s);
+    core::TimePoint now { 1s };
+    for (int i = 0; i < 1000; ++i) {
+        now += 10ms;
+        demand.add(core::WorkLength::Short, 20ms, now);
+    }
+    CHECK(demand.longShare() == Approx(0));
+    for (int i = 0; i < 100; ++i) {
+        now += 500ms;
+        demand.add(core::WorkLength::Long, 2s, now);
+    }
+    CHECK(demand.longShare() > 0.9);
+    core::ServerEntry server;
+    CHECK(request::LaneLimits::forDemand(0).limit(server, core::WorkLength::Long) == 1);
+    CHECK(request::LaneLimits::forDemand(1).limit(server, core::WorkLength::Long) == 2);
+}
+
+// Guards against a cold server that gets its full share of work.
+TEST_CASE("warmth limits the usable slots", "[lanes]")
+{
+    core::ServerEntry server;
+    const std::vector<std::pair<double, std::uint32_t>> expected = { { 0, 0 }, { 0.1, 1 }, { 0.4, 2 }, { 0.7, 3 }, { 1, 3 } };
+    for (const auto& [warmth, slots] : expected) {
+        server.warmth = warmth;
+        CHECK(request::warmSlots(server) == slots);
+        CHECK(request::LaneLimits {}.limit(server, core::WorkLength::Long) <= slots);
+    }
+}
+
+// Guards against transfers that fill a link between regions.
+TEST_CASE("long transfers get what short work leaves, at most two thirds", "[lanes]")
+{
+    const request::LinkShare share { .capacityMbit = 280 };
+    CHECK(share.split(0, 1000).longMbit == Approx(280 * 2.0 / 3));
+    CHECK(share.split(200, 1000).longMbit == Approx(80));
+    CHECK(share.split(500, 1000).longMbit == Approx(0));
+    CHECK(share.perLongTransfer(200, 1000, 4) == Approx(20));
+    core::RandomEngine random(2);
+    for (int i = 0; i < 1000; ++i) {
+        const auto shortDemand = static_cast<double>(random() % 600);
+        const auto longDemand = static_cast<double>(random() % 600);
+        const request::LinkShare::Limits limits = share.split(shortDemand, longDemand);
+        CHECK(limits.longMbit <= longDemand);
+        CHECK(limits.longMbit + limits.shortMbit == Approx(280));
+        CHECK(limits.shortMbit + 1e-9 >= std::min(shortDemand, 280.0));
+    }
+}
+
+// Guards against long work that holds all connections to a server.
+TEST_CASE("long work gets a part of an entry VM's connections", "[lanes]")
+{
+    CHECK(request::longConnections(330, 9, 0.5) == 18);
+    CHECK(request::longConnections(330, 460, 0.5) == 1);
+}
--- /dev/null
+++ b/tests/pure/outlier.cpp
@@ -0,0 +1,133 @@
+#include "request/outlier.h"
+
+#include <catch2/catch.hpp>
+
+namespace core = cranberryshed::core;
+namespace request = cranberryshed::request;
+using namespace std::chrono_literals;
+using request::Standing;
+
+namespace {
+
+constexpr std::uint64_t classKey = 5;
+
+// A detector that has seen attempts of 10 ms at each of these servers.
+struct Setup {
+    explicit Setup(std::uint64_t servers)
+    {
+        std::vector<std::uint64_t> keys;
+        for (std::uint64_t key = 1; key <= servers; ++key)
+            keys.push_back(key);
+        this->detector.setServers(keys);
+        for (int i = 0; i < 100; ++i) {
+            for (std::uint64_t key : keys)
+                this->run(key, 10ms);
+        }
+    }
+
+    request::OutlierDetector::Attempt start(std::uint64_t server)
+    {
+        const request::OutlierDetector::Attempt attempt { .serverKey = server, .classKey = classKey, .startedAt = this->now };
+        this->detector.started(attempt);
+        return attempt;
+    }
+
+    void run(std::uint64_t server, core::Duration elapsed, core::AttemptResult result = core::AttemptResult::Answered)
+    {
+        const request::OutlierDetector::Attempt attempt = this->start(server);
+        this->now += elapsed;
+        this->detector.ended(attempt, result, this->now);
+    }
+
+    Standing at(std::uint64_t server) const { return this->detector.standing(server, this->now); }
+
+    request::OutlierDetector detector { {} };
+    core::TimePoint now { 1s };
+};
+
+}
+
+// Guards against a straggler that gets work until its first slow answer ends.
+TEST_CASE("a slow server is noticed while its attempt runs", "[outlier]")
+{
+    Setup setup(10);
+    const auto attempt = setup.start(3);
+    setup.now += 20ms;
+    CHECK(setup.at(3) == Standing::Usable);
+    setup.now += 10ms;
+    CHECK(setup.at(3) == Standing::Suspect);
+    setup.now += 70ms;
+    setup.detector.ended(attempt, core::AttemptResult::Answered, setup.now);
+    CHECK(setup.at(3) == Standing::Ejected);
+}
+
+// Guards against a server that never returns, and against one that returns with full traffic while still slow.
+TEST_CASE("an ejected server returns by one good probe", "[outlier]")
+{
+    Setup setup(10);
+    setup.run(3, 100ms);
+    CHECK(setup.at(3) == Standing::Ejected);
+    setup.now += 501ms;
+    CHECK(setup.at(3) == Standing::Probing);
+    const auto probe = setup.start(3);
+    CHECK(setup.at(3) == Standing::Ejected);
+    setup.now += 100ms;
+    setup.detector.ended(probe, core::AttemptResult::Answered, setup.now);
+    setup.now += 600ms;
+    CHECK(setup.at(3) == Standing::Ejected); // the second ejection is twice as long
+    setup.now += 500ms;
+    setup.run(3, 10ms);
+    CHECK(setup.at(3) == Standing::Usable);
+}
+
+// Guards against work that is sent to a dead server, and against ejecting one that only sheds load.
+TEST_CASE("a failed connection ejects at once, a refusal does not", "[outlier]")
+{
+    Setup setup(10);
+    setup.run(1, 1ms, core::AttemptResult::ConnectFailed);
+    setup.run(2, 1ms, core::AttemptResult::Broken);
+    for (int i = 0; i < 10; ++i)
+        setup.run(4, 1ms, core::AttemptResult::Refused);
+    CHECK(setup.at(1) == Standing::Ejected);
+    CHECK(setup.at(2) == Standing::Ejected);
+    CHECK(setup.at(4) == Standing::Usable);
+}
+
+// Guards against long work that makes its server look slow.
+TEST_CASE("the time of long classes does not count", "[outlier]")
+{
+    Setup setup(10);
+    const request::OutlierDetector::Attempt attempt { .serverKey = 3, .classKey = 9, .length = core::WorkLength::Long, .startedAt = setup.now };
+    setup.detector.started(attempt);
+    setup.now += 60s;
+    CHECK(setup.at(3) == Standing::Usable);
+    setup.detector.ended(attempt, core::AttemptResult::Answered, setup.now);
+    CHECK(setup.at(3) == Standing::Usable);
+}
+
+// Guards against ejecting so many servers that the others are overloaded.
+TEST_CASE("at most the stated share is ejected, whatever happens", "[outlier]")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Setup setup(10);
+        core::RandomEngine random(seed);
+        std::size_t most = 0;
+        for (int i = 0; i < 500; ++i) {
+            setup.run(1 + random() % 10, core::Duration(random() % 200'000), random() % 4 == 0 ? core::AttemptResult::Broken : core::AttemptResult::Answered);
+            most = std::max(most, setup.detector.ejectedCount(setup.now));
+        }
+        CHECK(most <= 4);
+        CHECK(most > 0);
+    }
+}
+
+// Guards against samples of stragglers that move the usual time and so hide them.
+TEST_CASE("a fifth of slow samples hardly moves the usual time", "[outlier]")
+{
+    request::TypicalTime typical;
+    core::RandomEngine random(3);
+    for (int i = 0; i < 5000; ++i)
+        typical.add(random() % 5 == 0 ? core::Duration(100ms) : core::Duration(8000 + random() % 4000));
+    CHECK(typical.value() > 0.009);
+    CHECK(typical.value() < 0.0125);
+}
--- a/tests/pure/queue.cpp
+++ b/tests/pure/queue.cpp
@@ -1,7 +1,9 @@
 #include "request/queue.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <tuple>
 
 namespace core = cranberryshed::core;
 namespace request = cranberryshed::request;
@@ -96,3 +98,106 @@
     CHECK_FALSE(other.refusal);
     CHECK(other.evicted == core::RequestId { 6 });
 }
+
+namespace {
+
+// The rules of the queue in the plainest form: looks at every request for each decision. FIFO only.
+struct NaiveQueue {
+    struct Item {
+        Ask ask;
+        core::TimePoint arrival;
+    };
+
+    std::uint64_t take()
+    {
+        std::optional<std::size_t> best;
+        for (std::size_t i = 0; i < this->items.size(); ++i) {
+            if (!best || this->rank(this->items[i]) < this->rank(this->items[*best]))
+                best = i;
+        }
+        if (!best)
+            return 0;
+        const Ask taken = this->items[*best].ask;
+        const double cost = std::chrono::duration<double>(taken.serviceTime).count();
+        this->poolClock = this->classStart[taken.classKey];
+        this->classStart[taken.classKey] += cost;
+        double& ownStart = this->callerStart[{ taken.classKey, taken.caller }];
+        this->callerClock[taken.classKey] = ownStart;
+        ownStart += cost;
+        this->items.erase(this->items.begin() + static_cast<std::ptrdiff_t>(*best));
+        return taken.id;
+    }
+
+    void add(const Ask& ask, core::TimePoint now)
+    {
+        const auto waits = [&](bool sameCaller) { return std::ranges::any_of(this->items, [&](const Item& item) { return item.ask.classKey == ask.classKey && (!sameCaller || item.ask.caller == ask.caller); }); };
+        if (!waits(false))
+            this->classStart[ask.classKey] = std::max(this->classStart[ask.classKey], this->poolClock);
+        if (!waits(true))
+            this->callerStart[{ ask.classKey, ask.caller }] = this->callerClock[ask.classKey];
+        this->items.push_back({ ask, now });
+    }
+
+    std::tuple<double, std::uint64_t, double, std::uint32_t, core::TimePoint, std::uint64_t> rank(const Item& item)
+    {
+        const Ask& ask = item.ask;
+        return { this->classStart[ask.classKey], ask.classKey, this->callerStart[{ ask.classKey, ask.caller }], ask.caller, item.arrival, ask.id };
+    }
+
+    std::vector<Item> items;
+    double poolClock = 0;
+    std::map<std::uint64_t, double> classStart;
+    std::map<std::uint64_t, double> callerClock;
+    std::map<std::pair<std::uint64_t, std::uint32_t>, double> callerStart;
+};
+
+}
+
+// Guards against indexes of the queue that disagree with its rules.
+TEST_CASE("the queue serves in the order of the naive queue", "[queue]")
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        core::RandomEngine random(seed);
+        request::WaitQueue queue({ .limit = 100'000, .longestWait = 1h, .standing = 1h });
+        NaiveQueue naive;
+        core::TimePoint now = start;
+        std::vector<std::uint64_t> present;
+        for (std::uint64_t id = 1; id <= 400; ++id) {
+            now += core::Duration(random() % 1000);
+            if (random() % 5 < 3) {
+                const Ask ask { .id = id, .classKey = 1 + random() % 4, .caller = static_cast<std::uint32_t>(random() % 5), .deadline = 1h, .serviceTime = core::Duration(1000 << (random() % 3)) };
+                CHECK_FALSE(offer(queue, ask, now).refusal);
+                naive.add(ask, now);
+            } else if (random() % 4 == 0 && !naive.items.empty()) {
+                const std::size_t position = random() % naive.items.size();
+                CHECK(queue.remove(core::RequestId { naive.items[position].ask.id }, now));
+                naive.items.erase(naive.items.begin() + static_cast<std::ptrdiff_t>(position));
+            } else
+                CHECK(take(queue, now) == naive.take());
+            CHECK(queue.size() == naive.items.size());
+        }
+    }
+}
+
+// Guards against requests that are lost: each one offered is refused, evicted, expired, taken or still waiting.
+TEST_CASE("no request is lost or counted twice", "[queue]")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        core::RandomEngine random(seed);
+        request::WaitQueue queue({ .limit = 60, .longestWait = 80ms });
+        core::TimePoint now = start;
+        std::size_t ended = 0;
+        constexpr std::uint64_t count = 2000;
+        for (std::uint64_t id = 1; id <= count; ++id) {
+            now += core::Duration(random() % 4000);
+            const request::Offer answer = offer(queue, { .id = id, .classKey = 1 + random() % 3, .caller = static_cast<std::uint32_t>(random() % 10), .deadline = core::Duration(random() % 200'000), .serviceTime = core::Duration(1 + random() % 20'000) }, now, 2);
+            ended += answer.refusal.has_value() + answer.evicted.has_value();
+            CHECK_FALSE((answer.refusal && answer.evicted));
+            ended += queue.expire(now).size();
+            if (random() % 3 == 0)
+                ended += take(queue, now) != 0;
+            CHECK(queue.size() <= 60);
+        }
+        CHECK(ended + queue.size() == count);
+    }
+}
