--- a/src/lookup/rank.cpp
+++ b/src/lookup/rank.cpp
@@ -4,44 +4,20 @@
 
 #include <algorithm>
 #include <map>
-#include <numeric>
+#include <span>
 
 namespace cranberryshed::core {
 
 namespace {
 
-    // The finalizer of MurmurHash3: cheap enough to run for each candidate of each look-up.
+    // Two rounds of the finalizer of MurmurHash3: cheap enough to run for each candidate of each look-up. The keys
+    // are hashes already, so the first shift and the last are not needed.
     std::uint64_t mix(std::uint64_t value)
     {
-        value = (value ^ (value >> 33U)) * 0xff51afd7ed558ccdULL;
-        value = (value ^ (value >> 33U)) * 0xc4ceb9fe1a85ec53ULL;
-        return value ^ (value >> 33U);
+        value *= 0xff51afd7ed558ccdULL;
+        return (value ^ (value >> 32U)) * 0xc4ceb9fe1a85ec53ULL;
     }
 
-    struct Best {
-        std::uint64_t score = 0;
-        const SiteRanks::Candidate* candidate = nullptr;
-    };
-
-    // The candidates of the best scores seen, best first.
-    class Top {
-    public:
-        void offer(std::uint64_t score, const SiteRanks::Candidate& candidate)
-        {
-            Best entry { .score = score, .candidate = &candidate };
-            for (Best& place : this->places) {
-                if (!place.candidate || entry.score > place.score)
-                    std::swap(place, entry);
-                if (!entry.candidate)
-                    return;
-            }
-        }
-        const std::array<Best, RankedMembers::limit>& best() const { return this->places; }
-
-    private:
-        std::array<Best, RankedMembers::limit> places {};
-    };
-
     // Collects the answer: two members in order, then one in another failure domain than the first.
     class Selection {
     public:
@@ -49,8 +25,9 @@
 
         void offer(const SiteRanks::Candidate& candidate, bool anyDomain)
         {
+            const core::MemberIndex member { candidate.member };
             const auto end = this->ranked.members.begin() + this->ranked.count;
-            if (this->full() || std::find(this->ranked.members.begin(), end, candidate.member) != end)
+            if (this->full() || std::find(this->ranked.members.begin(), end, member) != end)
                 return;
             if (this->ranked.count == 0)
                 this->firstDomain = candidate.domain;
@@ -58,34 +35,45 @@
             if (last && !anyDomain && !this->otherDomain && candidate.domain == this->firstDomain)
                 return;
             this->otherDomain |= candidate.domain != this->firstDomain;
-            this->ranked.members[this->ranked.count++] = candidate.member;
+            this->ranked.members[this->ranked.count++] = member;
         }
 
         const RankedMembers& result() const { return this->ranked; }
 
     private:
         RankedMembers ranked;
-        std::uint16_t firstDomain = 0;
+        std::uint8_t firstDomain = 0;
         bool otherDomain = false;
     };
 
-    // Offers the candidates tier by tier, each tier in the caller's order.
-    void walk(const std::vector<SiteRanks::Candidate>& candidates, std::uint64_t callerHash, bool acceptAll, bool anyDomain, Selection& selection)
+    // Offers the candidates tier by tier, each tier in the caller's order. Scores are computed for the whole tier
+    // first: a branch for each candidate would be mispredicted and cost more than the hash.
+    void walk(std::span<const SiteRanks::Candidate> candidates, std::uint64_t callerHash, bool acceptAll, bool anyDomain, Selection& selection)
     {
-        std::size_t position = 0;
-        while (position < candidates.size() && !selection.full()) {
-            const std::uint16_t tier = candidates[position].tier;
-            Top top;
-            for (; position < candidates.size() && candidates[position].tier == tier; ++position) {
-                const SiteRanks::Candidate& candidate = candidates[position];
-                const std::uint64_t score = mix(candidate.key ^ callerHash);
-                if (acceptAll || static_cast<std::uint32_t>(score) <= candidate.accepted)
-                    top.offer(score, candidate);
+        std::array<std::uint64_t, SiteRanks::candidateLimit> scores;
+        // A tier is one failure domain, which may not fill the last place.
+        const std::size_t picks = anyDomain ? RankedMembers::limit : RankedMembers::limit - 1;
+        std::size_t first = 0;
+        while (first < candidates.size() && !selection.full()) {
+            std::size_t end = first;
+            for (; end < candidates.size() && candidates[end].tier == candidates[first].tier; ++end) {
+                const std::uint64_t score = mix(candidates[end].key ^ callerHash);
+                const bool accepted = acceptAll | (static_cast<std::uint16_t>(score) <= candidates[end].accepted);
+                scores[end] = accepted ? score : 0;
             }
-            for (const Best& place : top.best()) {
-                if (place.candidate)
-                    selection.offer(*place.candidate, anyDomain);
+            for (std::size_t count = 0; count < picks && !selection.full(); ++count) {
+                std::size_t best = first;
+                std::uint64_t bestScore = 0;
+                for (std::size_t i = first; i < end; ++i) {
+                    best = scores[i] > bestScore ? i : best;
+                    bestScore = std::max(bestScore, scores[i]);
+                }
+                if (bestScore == 0)
+                    break;
+                scores[best] = 0;
+                selection.offer(candidates[best], anyDomain);
             }
+            first = end;
         }
     }
 
@@ -95,7 +83,7 @@
 {
     if (this->sites.empty())
         return {};
-    const std::vector<Candidate>& candidates = this->sites[std::min<std::size_t>(site, this->sites.size() - 1)];
+    const std::span<const Candidate> candidates = this->sites[std::min<std::size_t>(site, this->sites.size() - 1)];
     const std::uint64_t callerHash = mix(static_cast<std::uint32_t>(caller) + 0x9e3779b97f4a7c15ULL);
     Selection selection;
     walk(candidates, callerHash, false, false, selection);
@@ -121,10 +109,10 @@
     constexpr double fullLoad = 0.85; // above it a member passes callers on to the next tier
     constexpr double leastShare = 0.1; // keeps some callers, so that the load of the member stays known
 
-    // A site's nearest failure domain has about 35 members in two years. More than this many candidates a tier
-    // would cost look-up time and change nothing.
-    constexpr std::size_t tierLimit = 40;
-    constexpr std::size_t siteLimit = 64; // candidates of one site
+    // A site's nearest failure domain has about 35 members in two years, and all of them share its callers. The
+    // further tiers are second choices, where each candidate more only costs look-up time.
+    constexpr std::size_t nearestTierLimit = 40;
+    constexpr std::size_t otherTierLimit = 8;
 
     bool serving(const core::MemberEntry& member)
     {
@@ -179,7 +167,7 @@
                 continue;
             // A suspected member takes no caller while another one is there.
             const double share = member.state == core::MemberState::Suspect ? 0 : shares[i];
-            byDomain[member.domain.value].push_back({ .key = core::hashBytes(member.name), .member = core::MemberIndex { i }, .accepted = static_cast<std::uint32_t>(share * UINT32_MAX), .tier = 0, .domain = static_cast<std::uint16_t>(member.domain.value) });
+            byDomain[member.domain.value].push_back({ .key = core::hashBytes(member.name), .member = static_cast<std::uint16_t>(i), .accepted = static_cast<std::uint16_t>(share * UINT16_MAX), .tier = 0, .domain = static_cast<std::uint8_t>(member.domain.value) });
         }
         return byDomain;
     }
@@ -187,14 +175,15 @@
     std::vector<core::SiteRanks::Candidate> listFor(const std::vector<std::uint32_t>& order, const std::vector<std::vector<core::SiteRanks::Candidate>>& byDomain, std::uint64_t siteKey)
     {
         std::vector<core::SiteRanks::Candidate> list;
-        for (std::size_t tier = 0; tier < order.size() && list.size() < siteLimit; ++tier) {
+        for (std::size_t tier = 0; tier < order.size() && list.size() + otherTierLimit <= core::SiteRanks::candidateLimit; ++tier) {
             std::vector<core::SiteRanks::Candidate> candidates = byDomain[order[tier]];
-            if (candidates.size() > tierLimit) {
+            const std::size_t limit = list.empty() ? nearestTierLimit : otherTierLimit;
+            if (candidates.size() > limit) {
                 std::ranges::sort(candidates, std::greater<>(), [&](const core::SiteRanks::Candidate& candidate) { return core::hashCombine(siteKey, candidate.key); });
-                candidates.resize(tierLimit);
+                candidates.resize(limit);
             }
             for (core::SiteRanks::Candidate& candidate : candidates) {
-                candidate.tier = static_cast<std::uint16_t>(tier);
+                candidate.tier = static_cast<std::uint8_t>(tier);
                 list.push_back(candidate);
             }
         }
@@ -240,6 +229,7 @@
 {
     const auto byDomain = candidatesByDomain(table, shares);
     std::vector<std::vector<core::SiteRanks::Candidate>> lists;
+    lists.reserve(declarations.sites.size() + 1);
     for (const core::SiteDeclaration& site : declarations.sites)
         lists.push_back(listFor(domainOrder(table, declarations, site.nearestDomains), byDomain, core::hashBytes(site.name)));
     std::vector<std::string> own;
