--- a/src/platform/http_client_impl.h
+++ b/src/platform/http_client_impl.h
@@ -240,7 +240,7 @@
     co_return declare::loadServers(reply.body, this->transport.now());
 }
 
-// One list of all kinds, or one watch. Returns what is newer than anything seen before.
+// One list of all kinds, one watch, or the check of the position. Returns what is newer than anything seen before.
 template <Transport TransportType>
 asio::awaitable<std::vector<core::Object>> Client<TransportType>::step(FollowPosition& position, std::span<const std::string> kinds)
 {
@@ -252,20 +252,27 @@
                 fresh.push_back(std::move(stored.object));
         }
     };
-    if (position.step() == FollowStep::Watch) {
+    FollowStep next = position.step();
+    if (next == FollowStep::Verify) {
+        ObjectBatch batch = co_await this->watch(position.from() - 1, core::Duration(0));
+        position.verified(batch);
+        co_return fresh;
+    }
+    if (next == FollowStep::Watch) {
         ObjectBatch batch = co_await this->watch(position.from(), watchWait);
-        position.watched(batch.version);
+        position.watched(batch);
         takeNew(batch);
         co_return fresh;
     }
     // The watch starts at the first list's version, so that no change between the lists is missed.
-    std::optional<std::uint64_t> start;
+    ObjectBatch all;
     for (const std::string& kind : kinds) {
         ObjectBatch batch = co_await this->list(kind);
-        start = start.value_or(batch.version);
-        takeNew(batch);
+        all.version = &kind == kinds.data() ? batch.version : all.version;
+        std::move(batch.objects.begin(), batch.objects.end(), std::back_inserter(all.objects));
     }
-    position.listed(start.value_or(0));
+    position.listed(all);
+    takeNew(all);
     co_return fresh;
 }
 
@@ -285,6 +292,8 @@
         }
         if (failure == core::ErrorKind::HistoryGone)
             position.historyGone();
+        else if (failure)
+            position.failed();
         bool isUp = !failure || failure == core::ErrorKind::HistoryGone;
         if (up && wasUp != isUp)
             up(isUp);
--- a/src/platform/policy.cpp
+++ b/src/platform/policy.cpp
@@ -10,6 +10,18 @@
     // Doublings after which the longest delay is reached with any sensible first delay.
     constexpr unsigned mostDoublings = 20;
 
+    StoredObject withoutContent(StoredObject stored)
+    {
+        stored.object.content.clear();
+        return stored;
+    }
+
+    bool isSameChange(const StoredObject& left, const StoredObject& right)
+    {
+        return left.object.kind == right.object.kind && left.object.name == right.object.name
+            && left.object.version == right.object.version && left.mark == right.mark;
+    }
+
 }
 
 core::Duration Backoff::next(core::RandomEngine& random)
@@ -116,12 +128,52 @@
     return position->second;
 }
 
-void FollowPosition::watched(std::uint64_t version)
+FollowStep FollowPosition::step() const
+{
+    if (!this->reached)
+        return FollowStep::List;
+    return this->doubtful && *this->reached > 0 ? FollowStep::Verify : FollowStep::Watch;
+}
+
+void FollowPosition::reach(const ObjectBatch& batch)
+{
+    if (this->reached != batch.version)
+        this->reachedChange.reset();
+    this->reached = batch.version;
+    for (const StoredObject& stored : batch.objects) {
+        if (stored.object.version.version == batch.version)
+            this->reachedChange = withoutContent(stored);
+    }
+}
+
+void FollowPosition::watched(const ObjectBatch& batch)
 {
-    if (this->reached && version < *this->reached)
+    if (this->reached && batch.version < *this->reached) {
         this->reached.reset();
+        return;
+    }
+    this->reach(batch);
+    this->doubtful = batch.objects.empty();
+}
+
+void FollowPosition::verified(const ObjectBatch& batch)
+{
+    this->doubtful = false;
+    bool same = !batch.objects.empty() && batch.objects.front().object.version.version == this->reached
+        && (!this->reachedChange || isSameChange(*this->reachedChange, batch.objects.front()));
+    if (same)
+        this->reachedChange = withoutContent(batch.objects.front());
     else
-        this->reached = version;
+        this->reached.reset();
+}
+
+void FollowPosition::historyGone()
+{
+    // Verifying needs one change more than watching. If that one is gone, the watch decides.
+    if (this->step() == FollowStep::Verify)
+        this->doubtful = false;
+    else
+        this->reached.reset();
 }
 
 }
--- a/src/platform/policy.h
+++ b/src/platform/policy.h
@@ -148,21 +148,36 @@
     std::map<std::pair<std::string, std::string>, core::ObjectVersion, std::less<>> versions;
 };
 
-enum class FollowStep : std::uint8_t { List,
-    Watch };
+enum class FollowStep : std::uint8_t {
+    List, // List all objects and pass the batch to `listed`.
+    Verify, // Watch from `from()` - 1 without waiting and pass the batch to `verified`.
+    Watch, // Watch from `from()` and pass the batch to `watched`.
+};
 
-// Decides how a watcher continues: from the version it has reached, or from a list if it has none, if the history
-// since then is gone, or if the store's version went back, which means that an old copy was restored.
+// Decides how a watcher continues: from the version it has reached, or from a list if it has none or if the history
+// since then is gone.
+//
+// A store that was restored from an old copy counts its versions up again. Once it has passed the watcher's version,
+// a watch from there looks valid, but the changes before it were never seen. So after an empty watch and after a
+// failure, the watcher verifies that the change at its version is still the one that it knows.
 class FollowPosition {
 public:
-    FollowStep step() const { return this->reached ? FollowStep::Watch : FollowStep::List; }
+    FollowStep step() const;
     std::uint64_t from() const { return this->reached.value_or(0); }
-    void listed(std::uint64_t version) { this->reached = version; }
-    void watched(std::uint64_t version);
-    void historyGone() { this->reached.reset(); }
+    void listed(const ObjectBatch& batch) { this->reach(batch); }
+    void watched(const ObjectBatch& batch);
+    void verified(const ObjectBatch& batch);
+    // The store no longer holds the history that was asked for.
+    void historyGone();
+    // A call failed, so the store may have been down and restored.
+    void failed() { this->doubtful = true; }
 
 private:
+    void reach(const ObjectBatch& batch);
+
     std::optional<std::uint64_t> reached;
+    std::optional<StoredObject> reachedChange; // the one at that version without its content, if known
+    bool doubtful = false;
 };
 
 }
--- a/tests/io/policy.cpp
+++ b/tests/io/policy.cpp
@@ -295,3 +295,33 @@
     CHECK(targets.at(3) == "/v1/objects/target");
     CHECK(targets.at(4) == "/v1/watch?from=5&waitMs=30000");
 }
+
+// Guards against changes that are missed for good because a restored store counted its versions up again to the
+// one that the watcher had reached.
+TEST_CASE("a follower notices that its version now belongs to another change", "[policy]")
+{
+    auto batch = [](std::uint64_t version, const std::string& writer) {
+        platform::ObjectBatch changes { .version = version, .objects = {} };
+        changes.objects.push_back({ .object = target(1, version), .mark = { .writer = writer, .nonce = "1" } });
+        return changes;
+    };
+    platform::FollowPosition position;
+    CHECK(position.step() == platform::FollowStep::List);
+    position.listed(batch(5, "before"));
+    CHECK(position.step() == platform::FollowStep::Watch);
+    position.watched({ .version = 5, .objects = {} });
+    CHECK(position.step() == platform::FollowStep::Verify);
+    position.verified(batch(5, "before"));
+    CHECK(position.step() == platform::FollowStep::Watch);
+    position.failed();
+    CHECK(position.step() == platform::FollowStep::Verify);
+    position.historyGone(); // compacted, which is no fault
+    CHECK(position.step() == platform::FollowStep::Watch);
+    position.failed();
+    position.verified(batch(5, "after"));
+    CHECK(position.step() == platform::FollowStep::List);
+    position.listed(batch(5, "after"));
+    position.failed();
+    position.verified({ .version = 4, .objects = {} });
+    CHECK(position.step() == platform::FollowStep::List);
+}
--- a/tests/io/store_fixture.h
+++ b/tests/io/store_fixture.h
@@ -34,6 +34,15 @@
         };
     }
 
+    // Deadlines for values of 1 MB on a busy machine.
+    static platform::ClientOptions slowOptions()
+    {
+        platform::ClientOptions options = quickOptions();
+        options.callDeadline = std::chrono::seconds(5);
+        options.totalDeadline = std::chrono::seconds(20);
+        return options;
+    }
+
     // Runs one call to its end and returns its result or throws its error.
     template <typename Result>
     Result run(boost::asio::awaitable<Result> call)
