--- a/src/request/outlier.h
+++ b/src/request/outlier.h
@@ -4,6 +4,7 @@
 #include "core/types.h"
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -22,17 +23,20 @@
 };
 
 // Whether a backend server gets work from this thread.
-enum class Standing : std::uint8_t { Usable,
-    Suspect, // an attempt takes much longer than usual: only used if nothing better is free
+// From best to worst.
+enum class Standing : std::uint8_t {
+    Usable,
     Probing, // was ejected: gets one request at a time until one is answered as fast as usual
-    Ejected };
+    Suspect, // an attempt takes much longer than usual: only used if nothing better is free
+    Ejected,
+};
 }
 
 namespace cranberryshed::core {
 
 template <>
 struct Names<request::Standing> {
-    static constexpr std::array<std::string_view, 4> values = { "usable", "suspect", "probing", "ejected" };
+    static constexpr std::array<std::string_view, 4> values = { "usable", "probing", "suspect", "ejected" };
 };
 
 }
@@ -51,7 +55,7 @@
         double slowRatio = 4; // time of an attempt that counts as slow, in usual times
         std::uint32_t strikes = 2; // slow or failed attempts without a good one in between
         double largestShareOut = 0.4; // of the servers, that may be ejected at the same time
-        core::Duration firstEjection = std::chrono::milliseconds(250);
+        core::Duration firstEjection = std::chrono::milliseconds(500);
         core::Duration longestEjection = std::chrono::seconds(5); // doubles from the first up to this
     };
 
@@ -77,6 +81,9 @@
     Standing standing(std::uint64_t serverKey, core::TimePoint now) const;
     std::size_t ejectedCount(core::TimePoint now) const;
 
+    // When a server was last ejected; nothing if none was.
+    std::optional<core::TimePoint> lastEjection() const { return this->ejectedAt; }
+
     // Usual time of the class's attempts in seconds, 0 if unknown.
     double typicalSeconds(std::uint64_t classKey) const;
 
@@ -102,6 +109,7 @@
     Options options;
     std::unordered_map<std::uint64_t, Server> servers;
     std::unordered_map<std::uint64_t, TypicalTime> typical; // by class
+    std::optional<core::TimePoint> ejectedAt;
 };
 
 }
