Hold back the error of a request that was in flight in a crash

Cause: a caller that resends a poison request at once reached entry VMs that had not heard of the crash; on the fake row one poison request crashed up to 5 servers. Change: its error is held for 1 s, at most until the deadline, while the fleet learns of the suspect. A request that was quarantined by its own crash is not planned again. Unit tests of keys, retry, hedge, crash and engine.

--- a/src/request/attempt_end.cpp
+++ b/src/request/attempt_end.cpp
@@ -107,19 +107,28 @@
     this->retryOrReject(request, ended, now);
 }
 
-// A complete answer without AnswerStarted is a fault of the front end; the request was run, so it ends here.
 void Conclude::retryOrReject(Active& request, const FinishedAttempt& ended, core::TimePoint now) const
 {
-    const Context& context = request.context;
-    const FailedAttempt failed { .result = ended.event.result, .repeat = context.classEntry().repeat, .mayHaveRun = request.mayHaveRun, .replayable = context.arrival.replayable, .answerStarted = false, .attempts = static_cast<unsigned>(request.tried.size()), .deadline = context.deadline };
-    std::optional<core::Duration> delay;
-    if (ended.event.result != core::AttemptResult::Answered)
-        delay = retryDelay(failed, this->state.options.retry, request.memory->retryBudget, this->state.random, now);
-    if (!delay)
-        return this->state.reject(request, errorFor(ended.event.result), now, ended.event.retryAfter);
-    request.phase = Phase::Backoff;
-    request.actAt = now + *delay;
+    const core::AttemptResult result = ended.event.result;
+    const std::optional<core::Duration> delay = this->planRetry(request, result, now);
+    const bool crashed = result == core::AttemptResult::Broken && !ended.attempt.headAt;
+    if (!delay && !crashed)
+        return this->state.reject(request, errorFor(result), now, ended.event.retryAfter);
+    request.phase = delay ? Phase::Backoff : Phase::Held;
+    request.actAt = now + delay.value_or(this->state.options.crashHold);
     this->state.arm(request);
 }
 
+// A complete answer without AnswerStarted is a fault of the front end; the request was run, so it ends here.
+std::optional<core::Duration> Conclude::planRetry(const Active& request, core::AttemptResult result, core::TimePoint now) const
+{
+    const Context& context = request.context;
+    if (result == core::AttemptResult::Answered)
+        return std::nullopt;
+    if (this->state.shared.crashes->suspicion(context.fingerprint, *this->state.table, now) == Suspicion::Quarantined)
+        return std::nullopt;
+    const FailedAttempt failed { .result = result, .repeat = context.classEntry().repeat, .mayHaveRun = request.mayHaveRun, .replayable = context.arrival.replayable, .answerStarted = false, .attempts = static_cast<unsigned>(request.tried.size()), .deadline = context.deadline };
+    return retryDelay(failed, this->state.options.retry, request.memory->retryBudget, this->state.random, now);
+}
+
 }
--- a/src/request/attempt_end.h
+++ b/src/request/attempt_end.h
@@ -48,6 +48,7 @@
 private:
     void concludeLive(Active&, const FinishedAttempt&, core::TimePoint now) const;
     void retryOrReject(Active&, const FinishedAttempt&, core::TimePoint now) const;
+    std::optional<core::Duration> planRetry(const Active&, core::AttemptResult, core::TimePoint now) const;
 };
 
 }
--- a/src/request/due.cpp
+++ b/src/request/due.cpp
@@ -9,6 +9,10 @@
         return Next<Launch>::end({});
     }
     request->actAt.reset();
+    if (request->phase == Phase::Held) {
+        this->state.reject(*request, core::ErrorKind::ServerBroke, now);
+        return Next<Launch>::end({});
+    }
     if (request->phase == Phase::Backoff) {
         request->phase = Phase::Starting;
         return Next<Launch>::pass({ .request = request, .reason = LaunchReason::Retry });
--- a/src/request/due.h
+++ b/src/request/due.h
@@ -4,7 +4,7 @@
 
 namespace cranberryshed::request {
 
-// Filter: finds the request of a timer. A timer of a request that has ended is ignored.
+// Filter: finds the request of an event. An event for a request that has ended is ignored.
 struct FindRequest {
     State& state;
 
@@ -13,7 +13,6 @@
         Active* request = this->state.find(id);
         if (!request)
             return Next<Active*>::end({});
-        request->timer = {}; // used up
         return Next<Active*>::pass(request);
     }
 };
@@ -25,6 +24,7 @@
 
     Next<Active*> operator()(Active* request, core::TimePoint now) const
     {
+        request->timer = {}; // used up
         if (request->relayed)
             return Next<Active*>::end({});
         if (now < request->context.deadline)
--- a/src/request/state.h
+++ b/src/request/state.h
@@ -25,6 +25,9 @@
     // a look-up answer for 5 s, and a table reaches a traffic thread within a fraction of a second.
     core::Duration shutdownLimit = std::chrono::seconds(8);
     std::size_t isolationLimit = 2; // suspects that run or wait for a reserved server at the same time
+    // How long the error of a request that was in flight in a crash is held back, at most until its deadline. A
+    // caller that gets it may send the request again at once, through an entry VM that does not know it yet.
+    core::Duration crashHold = std::chrono::seconds(1);
     core::Duration cancelGrace = std::chrono::seconds(2); // a cancelled attempt whose end is not reported by then is over
     core::Duration sweepInterval = std::chrono::seconds(1);
 };
@@ -69,6 +72,7 @@
     Queued, // waits for a slot
     Isolating, // waits for a server on which nothing else runs
     Backoff, // waits until the next attempt is due
+    Held, // has failed; its answer waits until the other entry VMs know the suspect
     InFlight };
 
 // One request that has not ended.
--- /dev/null
+++ b/tests/pure/crash.cpp
@@ -0,0 +1,162 @@
+#include "rig/callers.h"
+#include "rig/one_engine.h"
+
+#include <catch2/catch.hpp>
+
+namespace core = cranberryshed::core;
+namespace request = cranberryshed::request;
+namespace rig = cranberryshed::rig;
+using core::AttemptResult;
+using core::ErrorKind;
+using rig::find;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::uint64_t poison = 666;
+constexpr std::uint64_t innocent = 42;
+
+std::optional<ErrorKind> errorOrEmpty(const request::Commands& commands)
+{
+    const auto reject = find<request::Reject>(commands);
+    return reject ? std::optional(reject->error) : std::nullopt;
+}
+
+std::optional<request::SendAttempt> retried(rig::OneEngine& one, const request::Commands& commands, std::uint64_t id)
+{
+    const auto wait = find<request::WaitUntil>(commands);
+    return wait ? find<request::SendAttempt>(one.timer(id, wait->time - one.now)) : std::nullopt;
+}
+
+}
+
+// Guards against a fingerprint that changes with the key or the entry VM, and against one that is too coarse.
+TEST_CASE("a fingerprint depends on the content only", "[crash]")
+{
+    const request::Content content { .host = "Stock.example:8080", .method = "GET", .target = "/a", .bodyLength = 3, .bodyPrefix = "abc" };
+    const core::Fingerprint base = request::fingerprintOf(content);
+    request::Content same = content;
+    same.host = "stock.example";
+    CHECK(request::fingerprintOf(same) == base);
+    request::Content other = content;
+    other.target = "/ab";
+    other.bodyPrefix = "bc";
+    CHECK(request::fingerprintOf(other) != base);
+    other = content;
+    other.bodyLength = std::nullopt;
+    CHECK(request::fingerprintOf(other) != base);
+    CHECK(request::withClass(base, "one") != request::withClass(base, "two"));
+    const std::string longBody(request::fingerprintPrefix + 1, 'x');
+    other.bodyPrefix = longBody;
+    same = other;
+    same.bodyPrefix = std::string_view(longBody).substr(0, request::fingerprintPrefix);
+    CHECK(request::fingerprintOf(other) == request::fingerprintOf(same));
+}
+
+// Guards against a request that takes down one server after another, and against the condemnation of one that
+// only ran beside it.
+TEST_CASE("a poison request crashes a second server alone and is stopped, its neighbour is cleared", "[crash]")
+{
+    rig::OneEngine one({ .servers = 4, .slots = 2 });
+    std::map<std::uint64_t, request::SendAttempt> sent;
+    for (std::uint64_t id = 1; id <= 8; ++id)
+        sent[id] = *find<request::SendAttempt>(one.arrive(id, false, {}, id == 1 ? poison : id == 5 ? innocent
+                                                                                                    : id + 100));
+    REQUIRE(sent[1].server == sent[5].server);
+    one.end(sent[1], AttemptResult::Broken);
+    const request::Commands neighbour = one.end(sent[5], AttemptResult::Broken);
+    const std::vector<request::CrashObserved> crashes = rig::all<request::CrashObserved>(one.observations);
+    REQUIRE(crashes.size() == 2);
+    CHECK(crashes[0].inFlight.size() == 2);
+    CHECK_FALSE(crashes[0].isolated);
+
+    // Both wait until a server is empty; nothing else is sent there.
+    CHECK_FALSE(retried(one, neighbour, 5));
+    CHECK_FALSE(find<request::SendAttempt>(one.timer(1, milliseconds(5))));
+    std::map<std::uint64_t, request::SendAttempt> isolated;
+    for (std::uint64_t id : { 2, 6, 3, 7, 4, 8 }) {
+        for (const request::Command& command : one.answer(sent[id])) {
+            if (const auto* attempt = std::get_if<request::SendAttempt>(&command))
+                isolated[static_cast<std::uint64_t>(attempt->request)] = *attempt;
+        }
+    }
+    REQUIRE(isolated.size() == 2);
+    CHECK(isolated[1].server != isolated[5].server);
+    for (std::uint64_t id = 20; id < 24; ++id) {
+        const auto other = find<request::SendAttempt>(one.arrive(id));
+        CHECK((!other || (other->server != isolated[1].server && other->server != isolated[5].server)));
+    }
+
+    one.observations.clear();
+    CHECK_FALSE(errorOrEmpty(one.end(isolated[1], AttemptResult::Broken))); // held back
+    CHECK(rig::all<request::CrashObserved>(one.observations).front().isolated);
+    CHECK(find<request::RelayAnswer>(one.answer(isolated[5])));
+    CHECK(rig::all<request::SuspectCleared>(one.observations).size() == 1);
+    CHECK(errorOrEmpty(one.arrive(30, false, {}, poison)) == ErrorKind::Quarantined);
+    CHECK(errorOrEmpty(one.arrive(31, false, {}, innocent)) != ErrorKind::Quarantined);
+    CHECK(errorOrEmpty(one.timer(1, request::EngineOptions().crashHold)) == ErrorKind::DeadlinePassed);
+}
+
+// Guards against a second run of non-idempotent work whose content is suspect.
+TEST_CASE("a suspect that may have run is not retried when it is non-idempotent", "[crash]")
+{
+    rig::OneEngine one;
+    const auto sent = find<request::SendAttempt>(one.arrive(1, true, one.shared.keys->issue(one.now), poison));
+    CHECK_FALSE(find<request::WaitUntil>(one.end(*sent, AttemptResult::Broken)));
+    CHECK(errorOrEmpty(one.timer(1, std::chrono::seconds(1))) == ErrorKind::DeadlinePassed);
+    const auto again = find<request::SendAttempt>(one.arrive(2, true, one.shared.keys->issue(one.now), poison));
+    REQUIRE(again); // another key is another request; it runs alone
+    one.end(*again, AttemptResult::Broken);
+    CHECK(errorOrEmpty(one.arrive(3, true, one.shared.keys->issue(one.now), poison)) == ErrorKind::Quarantined);
+}
+
+// Guards against a quarantine for ever on one entry VM's word, and suspicion that never ends.
+TEST_CASE("suspicion and an unconfirmed quarantine expire", "[crash]")
+{
+    const core::SteeringTable table;
+    const request::CrashOptions options;
+    request::CrashBook book(options);
+    const core::TimePoint start { std::chrono::hours(1) };
+    const core::Fingerprint fingerprint { poison };
+    using request::Suspicion;
+    for (int i = 0; i < 5; ++i)
+        CHECK(book.onCrash(fingerprint, false, start) == Suspicion::Suspect);
+    CHECK(book.onCrash(fingerprint, true, start) == Suspicion::Quarantined);
+    CHECK_FALSE(book.onSuccess(fingerprint, table, start));
+    const core::TimePoint unconfirmed = start + options.quarantineTime;
+    CHECK(book.suspicion(fingerprint, table, unconfirmed) == Suspicion::Suspect);
+    core::SteeringTable confirmed;
+    confirmed.quarantined.insert(poison);
+    CHECK(book.suspicion(fingerprint, confirmed, unconfirmed) == Suspicion::Quarantined);
+    const core::TimePoint end = unconfirmed + options.suspectTime;
+    CHECK(book.suspicion(fingerprint, table, end) == Suspicion::Clear);
+    core::SteeringTable peers;
+    peers.suspects.insert(poison);
+    CHECK(book.suspicion(fingerprint, peers, end) == Suspicion::Suspect);
+    CHECK(book.onSuccess(fingerprint, peers, end));
+}
+
+// Guards against a poison request that its caller carries from one entry VM to the next, and against its
+// neighbours being refused: the row crashes a few times and everything else is answered.
+TEST_CASE("a poison request sent again through other entry VMs is recognised", "[crash]")
+{
+    using RealEngine = request::Engine<request::HomeSubset>;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        rig::WorldOptions options { .table = { .servers = 9, .domains = 3 } };
+        rig::World<RealEngine> world(options, seed, [&](std::size_t vm, const request::Shared& shared) { return std::make_unique<RealEngine>(request::EngineOptions {}, request::HomeSubset(), shared, seed * 10 + vm); });
+        world.publishEvery(milliseconds(100));
+        rig::Callers<RealEngine> callers(world, { .jobs = 600, .spread = std::chrono::seconds(1), .writes = 0, .duplicates = 0 });
+        callers.jobs[0].poison = true;
+        // The callers' own repeats come within milliseconds; these come after the fleet had time to learn.
+        for (int i = 0; i < 20; ++i)
+            world.scheduler.after(milliseconds(1500 + 100 * i), [&, i] { callers.repeat(0, static_cast<std::size_t>(i) % world.vms.size()); });
+        world.scheduler.runUntil(world.scheduler.now() + std::chrono::seconds(5));
+        unsigned crashes = 0;
+        for (const auto& server : world.servers)
+            crashes += server->crashes;
+        CHECK(crashes == 2);
+        CHECK(world.quarantined.size() == 1);
+        CHECK(callers.answeredPercent(false) == 100);
+    }
+}
--- /dev/null
+++ b/tests/pure/keys.cpp
@@ -0,0 +1,127 @@
+#include "request/keys.h"
+#include "lookup/issue_key.h"
+
+#include "rig/tables.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace core = cranberryshed::core;
+namespace lookup = cranberryshed::lookup;
+namespace request = cranberryshed::request;
+using core::ErrorKind;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr core::Fingerprint content { 11 };
+constexpr core::TimePoint start { std::chrono::hours(5) };
+
+request::KeyLedger makeLedger(std::uint64_t incarnation = 1, std::size_t limit = 100)
+{
+    return request::KeyLedger(7, core::Incarnation { incarnation }, { .lifetime = seconds(60), .limit = limit }, 3);
+}
+
+}
+
+// Guards against a key that is dispatched twice, and against an outcome that a repeat does not get.
+TEST_CASE("a key is dispatched once and remembers its outcome", "[keys]")
+{
+    request::KeyLedger ledger = makeLedger();
+    const std::string key = ledger.issue(start);
+    CHECK_FALSE(ledger.claim(key, content, start).refusal);
+    CHECK(ledger.claim(key, content, start).refusal == ErrorKind::KeyInProgress);
+    CHECK(ledger.claim(key, core::Fingerprint { 12 }, start).refusal == ErrorKind::KeyMismatch);
+    ledger.finish(key, 201);
+    const request::KeyClaim repeat = ledger.claim(key, content, start + seconds(59));
+    CHECK(repeat.refusal == ErrorKind::KeyUsed);
+    CHECK(repeat.earlierStatus == 201);
+    CHECK(ledger.claim(key, content, start + seconds(60)).refusal == ErrorKind::KeyExpired);
+}
+
+// Guards against "was run" for a request whose connection broke.
+TEST_CASE("a key whose request may have run says so", "[keys]")
+{
+    request::KeyLedger ledger = makeLedger();
+    const std::string key = ledger.issue(start);
+    ledger.claim(key, content, start);
+    ledger.finish(key, 0);
+    CHECK(ledger.claim(key, content, start).refusal == ErrorKind::KeyUnclear);
+    CHECK(core::answerFor(ErrorKind::KeyUnclear).run == core::RunState::MayHaveRun);
+}
+
+// Guards against a key that is lost although its request did not run, and against giving back a used one.
+TEST_CASE("a key is given back only while its request runs", "[keys]")
+{
+    request::KeyLedger ledger = makeLedger();
+    const std::string key = ledger.issue(start);
+    ledger.claim(key, content, start);
+    ledger.giveBack(key);
+    CHECK_FALSE(ledger.claim(key, core::Fingerprint { 12 }, start).refusal);
+    ledger.finish(key, 200);
+    ledger.giveBack(key);
+    CHECK(ledger.claim(key, core::Fingerprint { 12 }, start).refusal == ErrorKind::KeyUsed);
+}
+
+// Guards against a key that outlives the memory of its use: after a restart, at another entry VM, or past its expiry.
+TEST_CASE("only the incarnation that issued a key accepts it", "[keys]")
+{
+    request::KeyLedger first = makeLedger(1);
+    request::KeyLedger restarted = makeLedger(2);
+    request::KeyLedger other(8, core::Incarnation { 1 }, { .lifetime = seconds(60) }, 3);
+    const std::string key = first.issue(start);
+    CHECK(restarted.claim(key, content, start).refusal == ErrorKind::KeyForeign);
+    CHECK(other.claim(key, content, start).refusal == ErrorKind::KeyForeign);
+    CHECK(first.claim("2" + key.substr(1), content, start).refusal == ErrorKind::KeyForeign);
+    CHECK(first.claim(key, content, start + seconds(60)).refusal == ErrorKind::KeyExpired);
+    CHECK(first.held() == 0);
+}
+
+// Guards against two texts for one key, which would run it twice, and against a parser that reads past the end.
+TEST_CASE("malformed keys are refused", "[keys]")
+{
+    request::KeyLedger ledger = makeLedger();
+    const std::string key = ledger.issue(start);
+    for (const std::string& text : { std::string("x"), std::string("1-2-3"), key + "-1", key + "z", "0" + key, key + " ", std::string("1-7-1--5"), std::string(200, 'f') }) {
+        CAPTURE(text);
+        CHECK(ledger.claim(text, content, start).refusal == ErrorKind::KeyMalformed);
+    }
+    core::RandomEngine random(5);
+    for (int i = 0; i < 2000; ++i) {
+        std::string changed = key;
+        changed[random() % changed.size()] = static_cast<char>(random());
+        if (const request::ParsedKey parsed = request::parseKey(changed); parsed.key)
+            CHECK(request::formatKey(*parsed.key) == changed);
+    }
+}
+
+// Guards against memory that grows with made-up keys.
+TEST_CASE("held keys are bounded in time and number", "[keys]")
+{
+    request::KeyLedger ledger = makeLedger(1, 100);
+    const request::RequestKey farOff { .member = 7, .incarnation = core::Incarnation { 1 }, .expiry = start + seconds(61), .nonce = 1 };
+    CHECK(ledger.claim(request::formatKey(farOff), content, start).refusal == ErrorKind::KeyMalformed);
+    for (int i = 0; i < 150; ++i)
+        ledger.claim(ledger.issue(start), content, start);
+    CHECK(ledger.held() == 100);
+    CHECK(ledger.claim(ledger.issue(start), content, start).refusal == ErrorKind::Overloaded);
+    CHECK_FALSE(ledger.claim(ledger.issue(start + seconds(60)), content, start + seconds(60)).refusal);
+    CHECK(ledger.held() == 1);
+}
+
+// Guards against a look-up answer whose key the first listed entry VM refuses.
+TEST_CASE("a look-up answer with a key lists this entry VM first", "[keys]")
+{
+    request::KeyLedger ledger = makeLedger();
+    lookup::IssueKey filter { ledger };
+    const auto table = cranberryshed::rig::makeTable({ .members = 3, .self = 1 });
+    lookup::Context context { .query = {}, .table = table, .classIndex = core::ClassIndex { 1 }, .reply = { .entries = { { 0 }, { 2 }, { 1 } }, .timeToLive = {}, .requestKey = {} } };
+    const lookup::Reply reply = filter(context, start).output().reply;
+    CHECK(reply.entries == std::vector<core::MemberIndex> { { 1 }, { 0 }, { 2 } });
+    CHECK_FALSE(ledger.claim(reply.requestKey, content, start).refusal);
+    context.reply.entries = { { 0 }, { 2 } };
+    CHECK(filter(context, start).output().reply.requestKey.empty());
+    context.reply.entries.push_back({ 1 });
+    context.classIndex = core::ClassIndex { 0 };
+    CHECK(filter(context, start).output().reply.requestKey.empty());
+}
--- /dev/null
+++ b/tests/pure/retry.cpp
@@ -0,0 +1,168 @@
+#include "request/retry.h"
+#include "request/hedge.h"
+#include "request/servers.h"
+
+#include "rig/tables.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace core = cranberryshed::core;
+namespace request = cranberryshed::request;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr core::TimePoint start { std::chrono::hours(5) };
+
+request::FailedAttempt failedAttempt()
+{
+    return { .result = core::AttemptResult::Refused, .deadline = start + std::chrono::seconds(1) };
+}
+
+}
+
+// Guards against retries that repeat work or mix two answers.
+TEST_CASE("only work that may safely run again is retried", "[retry]")
+{
+    const request::RetryOptions options;
+    request::FailedAttempt failed = failedAttempt();
+    CHECK(request::mayRetry(failed, options));
+    failed.mayHaveRun = true;
+    CHECK(request::mayRetry(failed, options));
+    failed.repeat = core::Repeat::NonIdempotent;
+    CHECK_FALSE(request::mayRetry(failed, options));
+    failed.mayHaveRun = false;
+    CHECK(request::mayRetry(failed, options));
+    failed.replayable = false;
+    CHECK_FALSE(request::mayRetry(failed, options));
+    failed = failedAttempt();
+    failed.answerStarted = true;
+    CHECK_FALSE(request::mayRetry(failed, options));
+    failed = failedAttempt();
+    failed.attempts = options.attemptLimit;
+    CHECK_FALSE(request::mayRetry(failed, options));
+}
+
+// Guards against a retry that cannot finish in time, and against synchronised retries.
+TEST_CASE("the delay grows with jitter and leaves time before the deadline", "[retry]")
+{
+    request::RetryOptions options;
+    options.budget.minimum = 10'000;
+    request::TokenBudget budget(options.budget);
+    core::RandomEngine random(1);
+    request::FailedAttempt failed = failedAttempt();
+    for (unsigned attempts = 1; attempts < options.attemptLimit; ++attempts) {
+        failed.attempts = attempts;
+        const core::Duration base = options.firstDelay * (1U << (attempts - 1));
+        core::Duration least = core::Duration::max();
+        core::Duration most {};
+        for (int i = 0; i < 200; ++i) {
+            const core::Duration delay = *request::retryDelay(failed, options, budget, random, start);
+            least = std::min(least, delay);
+            most = std::max(most, delay);
+        }
+        CHECK((least >= base / 2 && least < base * 6 / 10));
+        CHECK((most <= base * 3 / 2 && most > base * 14 / 10));
+    }
+    failed.attempts = 1;
+    failed.deadline = start + milliseconds(1);
+    CHECK_FALSE(request::retryDelay(failed, options, budget, random, start));
+}
+
+// Guards against a retry storm: extra attempts follow successes, so an outage of everything ends them.
+TEST_CASE("extra attempts stay below five percent of successes", "[retry]")
+{
+    const request::RetryOptions retry;
+    const request::HedgeOptions hedge;
+    request::TokenBudget retries(retry.budget);
+    request::TokenBudget hedges(hedge.budget);
+    core::TimePoint now = start;
+    unsigned extra = 0;
+    constexpr unsigned requests = 100'000;
+    for (unsigned i = 0; i < requests; ++i) {
+        now += milliseconds(1);
+        retries.onSuccess();
+        hedges.onSuccess();
+        extra += (retries.trySpend(now) ? 1 : 0) + (hedges.trySpend(now) ? 1 : 0);
+    }
+    CHECK(extra <= requests / 20 + retry.budget.minimum);
+    CHECK(extra > requests / 25);
+    unsigned duringOutage = 0;
+    for (unsigned i = 0; i < 10'000; ++i) {
+        now += milliseconds(1);
+        duringOutage += retries.trySpend(now) ? 1 : 0;
+    }
+    CHECK(duringOutage <= retry.budget.minimum + retry.budget.minimumPerSecond * 10 + 1);
+}
+
+// Guards against a retry at the same server, at one that asked for a pause, or in a domain that is down.
+TEST_CASE("a retry goes elsewhere", "[retry]")
+{
+    const auto table = cranberryshed::rig::makeTable({ .servers = 6, .domains = 3 }); // server i is in domain i % 3
+    const auto key = [&](std::uint32_t index) { return table->servers[index].key; };
+    const auto excluded = [&](const request::ServerMemory& memory, std::vector<std::uint64_t> tried, core::TimePoint now) {
+        std::vector<std::uint32_t> indexes;
+        for (core::ServerIndex index : memory.exclusions(*table, core::ClassIndex { 0 }, tried, now).servers)
+            indexes.push_back(index.value);
+        std::ranges::sort(indexes);
+        return indexes;
+    };
+    request::ServerMemory memory({});
+    CHECK(excluded(memory, { key(2) }, start) == std::vector<std::uint32_t> { 2 });
+    memory.record(key(0), core::AttemptResult::Broken, {}, start);
+    CHECK(excluded(memory, {}, start) == std::vector<std::uint32_t> { 0 });
+    memory.record(key(3), core::AttemptResult::ConnectFailed, {}, start);
+    CHECK(excluded(memory, {}, start + milliseconds(100)) == std::vector<std::uint32_t> { 0, 3 });
+    memory.record(key(3), core::AttemptResult::Answered, {}, start);
+    CHECK(excluded(memory, {}, start + milliseconds(100)).empty());
+    memory.record(key(5), core::AttemptResult::Refused, milliseconds(300), start);
+    CHECK(excluded(memory, {}, start + milliseconds(299)) == std::vector<std::uint32_t> { 5 });
+    CHECK(excluded(memory, {}, start + milliseconds(300)).empty());
+
+    std::vector<std::uint64_t> all;
+    for (const core::ServerEntry& server : table->servers) {
+        all.push_back(server.key);
+        memory.record(server.key, core::AttemptResult::Refused, milliseconds(200), start);
+    }
+    const request::Exclusions none = memory.exclusions(*table, core::ClassIndex { 0 }, {}, start);
+    CHECK_FALSE(none.anyLeft);
+    CHECK(none.retryAfter == core::Duration(milliseconds(200)));
+    CHECK_FALSE(memory.exclusions(*table, core::ClassIndex { 0 }, all, start + std::chrono::seconds(1)).anyLeft);
+}
+
+// Guards against an estimate that is far off the quantile or does not follow a change.
+TEST_CASE("the quantile tracker finds the 95th percentile", "[retry]")
+{
+    request::QuantileTracker tracker(0.95);
+    CHECK_FALSE(tracker.estimate());
+    core::RandomEngine random(2);
+    std::exponential_distribution<double> distribution(1);
+    for (const double mean : { 10'000.0, 40'000.0 }) { // µs
+        for (int i = 0; i < 5000; ++i)
+            tracker.add(core::Duration(static_cast<core::Duration::rep>(mean * distribution(random))));
+        const double ideal = mean * 3.0; // ln 20
+        const auto estimate = static_cast<double>(tracker.estimate()->count());
+        CHECK(estimate > 0.7 * ideal);
+        CHECK(estimate < 1.4 * ideal);
+    }
+}
+
+// Guards against second attempts for work that must not run twice, is long, or under load.
+TEST_CASE("only idempotent short work is hedged, below the load limit", "[retry]")
+{
+    request::QuantileTracker latency(0.95);
+    for (int i = 0; i < 200; ++i)
+        latency.add(milliseconds(10));
+    request::HedgeOptions options { .enabled = true };
+    CHECK(request::hedgeDelay({}, options, latency));
+    CHECK_FALSE(request::hedgeDelay({ .repeat = core::Repeat::NonIdempotent }, options, latency));
+    CHECK_FALSE(request::hedgeDelay({ .length = core::WorkLength::Long }, options, latency));
+    CHECK_FALSE(request::hedgeDelay({ .replayable = false }, options, latency));
+    CHECK_FALSE(request::hedgeDelay({ .suspect = true }, options, latency));
+    request::TokenBudget budget({ .share = 0, .minimum = 5, .minimumPerSecond = 0, .limit = 5 });
+    CHECK_FALSE(request::mayHedge(options, options.loadLimit + 0.01, budget, start));
+    CHECK(request::mayHedge(options, options.loadLimit, budget, start));
+    options.enabled = false;
+    CHECK_FALSE(request::hedgeDelay({}, options, latency));
+}
--- a/tests/rig/callers.h
+++ b/tests/rig/callers.h
@@ -89,6 +89,13 @@
         return 100.0 * static_cast<double>(answered) / static_cast<double>(all);
     }
 
+    // Sends the job once more, whatever came of it, through this entry VM.
+    void repeat(std::size_t index, std::size_t vm)
+    {
+        this->jobs[index].sends = 0;
+        this->send(index, vm);
+    }
+
 private:
     void begin(std::size_t index)
     {
--- /dev/null
+++ b/tests/rig/one_engine.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "request/engine.h"
+#include "rig/tables.h"
+
+#include <deque>
+
+namespace cranberryshed::rig {
+
+// One engine, driven event by event. Commands and observations are kept for inspection.
+struct OneEngine {
+    explicit OneEngine(TableOptions tableOptions = {}, request::EngineOptions engineOptions = {})
+        : table(makeTable(tableOptions))
+        , shared(request::makeShared("vm", core::Incarnation { 1 }, 1))
+        , engine(engineOptions, {}, shared, 1)
+    {
+        this->engine.setTable(this->table);
+    }
+
+    // Returns the commands that the event led to.
+    request::Commands handle(const request::Event& event)
+    {
+        request::Commands commands;
+        this->engine.handle(event, this->now, commands, this->observations);
+        return commands;
+    }
+
+    // Handles the arrival of a request with a number as its content.
+    request::Commands arrive(std::uint64_t id, bool write = false, const std::string& key = {}, std::uint64_t content = 0)
+    {
+        request::RequestArrived arrival;
+        arrival.request = core::RequestId { id };
+        arrival.method = "GET";
+        arrival.target = write ? "/write" : "/read";
+        arrival.key = key;
+        arrival.fingerprint = core::Fingerprint { content == 0 ? id : content };
+        return this->handle(arrival);
+    }
+
+    request::Commands end(const request::SendAttempt& sent, core::AttemptResult result)
+    {
+        return this->handle(request::AttemptEnded { .request = sent.request, .attempt = sent.attempt, .result = result, .status = 0, .retryAfter = {} });
+    }
+
+    request::Commands answer(const request::SendAttempt& sent)
+    {
+        request::Commands commands = this->handle(request::AnswerStarted { .request = sent.request, .attempt = sent.attempt, .status = 200 });
+        const request::Commands last = this->end(sent, core::AttemptResult::Answered);
+        commands.insert(commands.end(), last.begin(), last.end());
+        return commands;
+    }
+
+    request::Commands timer(std::uint64_t id, core::Duration later)
+    {
+        this->now += later;
+        return this->handle(request::TimerDue { .request = core::RequestId { id } });
+    }
+
+    std::uint32_t taken() const
+    {
+        std::uint32_t sum = 0;
+        for (const core::ServerEntry& server : this->table->servers)
+            sum += server.inFlight->inFlight();
+        return sum;
+    }
+
+    core::TimePoint now { std::chrono::hours(3) };
+    std::shared_ptr<core::SteeringTable> table;
+    request::Shared shared;
+    request::Engine<request::RoundRobin> engine;
+    request::Observations observations;
+};
+
+// The first command of this type, or nothing.
+template <typename CommandType>
+std::optional<CommandType> find(const request::Commands& commands)
+{
+    for (const request::Command& command : commands) {
+        if (const auto* typed = std::get_if<CommandType>(&command))
+            return *typed;
+    }
+    return std::nullopt;
+}
+
+template <typename ObservationType>
+std::vector<ObservationType> all(const request::Observations& observations)
+{
+    std::vector<ObservationType> found;
+    for (const request::Observation& observation : observations) {
+        if (const auto* typed = std::get_if<ObservationType>(&observation))
+            found.push_back(*typed);
+    }
+    return found;
+}
+
+}
