Test entry VMs as processes and write the status object

Cause: kills, freezes, replacement and store outages were not tested on real processes; operators had no measured status. Change: tests/io/serve.cpp (SIGTERM, SIGKILL, SIGSTOP, replacement with the store down, a store restored from an old copy, an order whose entry VM dies); the status writer under a fenced lease; port 0 allowed in listening addresses.

--- a/src/app/control_loop.cpp
+++ b/src/app/control_loop.cpp
@@ -44,6 +44,7 @@
           [this](core::Object object) { this->peerNode.publish(std::move(object)); },
           [this](const core::ServerList& list) { this->peerNode.publish(declare::serversObject(list)); })
     , health(owner, this->options.health, [this](control::HealthReport report) { this->sources.health.push_back(std::move(report)); })
+    , status(owner, this->store.client(), { .holder = this->options.store.writer }, [this] { return this->measuredStatus(); })
     , timer(owner.get_executor())
 {
     this->sources.self = this->options.node.name;
@@ -67,6 +68,7 @@
 {
     this->stopped = true;
     this->timer.cancel();
+    this->status.setCompeting(false);
     this->store.stop();
     this->health.setServers({});
     this->peerNode.stop();
@@ -105,6 +107,7 @@
     this->seen = changes;
     this->sources.demand = this->demand.demand(now);
     this->store.setWatching(snapshot.watcher);
+    this->status.setCompeting(snapshot.watcher);
     this->sources.digests = snapshot.digests;
     this->sources.wall = wire::wallNow();
     core::Outcome outcome = this->pipe(this->sources, now);
@@ -188,6 +191,13 @@
     this->health.setServers(servers);
 }
 
+std::optional<declare::Status> ControlLoop::measuredStatus() const
+{
+    if (!this->published.table)
+        return std::nullopt;
+    return measureStatus(this->sources, this->published, wire::wallNow());
+}
+
 void ControlLoop::observe(request::Observations observations)
 {
     for (const request::Observation& observation : observations)
--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "app/health.h"
+#include "app/status_writer.h"
 #include "app/store_sync.h"
 #include "control/demand.h"
 #include "control/pipeline.h"
@@ -43,6 +44,8 @@
     const control::Published& lastPublished() const { return this->published; }
     const wire::Peer& peer() const { return this->peerNode; }
     bool storeIsUp() const { return this->store.storeIsUp(); }
+    bool watchesStore() const { return this->store.isWatching(); }
+    bool holdsStatusLease(core::TimePoint now) const { return this->status.holdsLease(now); }
 
 private:
     wire::Task<void> tickLoop();
@@ -53,6 +56,7 @@
     void readItems(const fleet::Snapshot&);
     void shareLeavingServers();
     void pollHomeServers();
+    std::optional<declare::Status> measuredStatus() const;
     void take(const request::ServerObserved&);
     void take(const request::CrashObserved&);
     void take(const request::SuspectCleared&);
@@ -64,6 +68,7 @@
     wire::Peer peerNode;
     StoreSync store;
     HealthPoller health;
+    StatusWriter status;
     wire::Timer timer;
     control::Sources sources;
     control::ControlPipe pipe = control::makeControlPipe();
--- a/src/app/dump.cpp
+++ b/src/app/dump.cpp
@@ -131,6 +131,8 @@
     const core::SteeringTablePointer& table = control.table();
     result["ready"] = static_cast<bool>(table);
     result["storeUp"] = control.storeIsUp();
+    result["watchesStore"] = control.watchesStore();
+    result["holdsStatusLease"] = control.holdsStatusLease(now);
     result["configurationRevision"] = table ? table->configurationRevision : 0;
     result["peer"] = dumpPeer(control.peer().counters());
     result["traffic"] = dumpTraffic(traffic);
--- a/src/app/entry_vm.cpp
+++ b/src/app/entry_vm.cpp
@@ -80,7 +80,7 @@
         worker->start();
     asio::post(*this->context, [this] { this->control->start(); });
     this->thread = std::thread([this] { this->context->run(); });
-    wire::log(core::LogPart::App, spdlog::level::info, "entry VM {} serves callers on {}, operators on {}", this->options.name, this->callerAddress(), this->adminAddress());
+    wire::log(core::LogPart::App, spdlog::level::info, "entry VM {} serves callers on {}, operators on {}, other entry VMs on {}", this->options.name, this->callerAddress(), this->adminAddress(), this->peerAddress());
 }
 
 void EntryVm::takeTable(const core::SteeringTablePointer& table)
--- /dev/null
+++ b/src/app/status_writer.cpp
@@ -0,0 +1,168 @@
+#include "app/status_writer.h"
+
+#include "core/errors.h"
+#include "wire/clock.h"
+#include "wire/log.h"
+
+#include <algorithm>
+
+namespace cranberryshed::app {
+
+namespace asio = wire::asio;
+
+namespace {
+
+    constexpr const char* leaseKind = "lease";
+    constexpr const char* leaseName = "status";
+    constexpr const char* statusKind = "status";
+
+    struct ServiceUse {
+        std::uint64_t slots = 0;
+        std::uint64_t busy = 0;
+    };
+
+    // Each failure domain counts all slots but only its own requests, so slots are the largest count and busy the sum.
+    std::map<std::string, ServiceUse> serviceUse(const control::Sources& sources)
+    {
+        std::map<std::string, std::map<std::string, ServiceUse>> byRegion;
+        for (const core::DomainDigest& digest : sources.digests) {
+            for (const core::ServiceCapacity& capacity : digest.capacities) {
+                ServiceUse& use = byRegion[capacity.service][capacity.region];
+                const std::uint32_t members = std::max(1U, digest.members);
+                use.slots = std::max<std::uint64_t>(use.slots, capacity.slots / members);
+                use.busy += capacity.busy;
+            }
+        }
+        std::map<std::string, ServiceUse> result;
+        for (const auto& [service, regions] : byRegion) {
+            for (const auto& [region, use] : regions) {
+                result[service].slots += use.slots;
+                result[service].busy += use.busy;
+            }
+        }
+        return result;
+    }
+
+    double freeShare(const ServiceUse& use)
+    {
+        if (use.slots == 0)
+            return 0;
+        return std::clamp(1 - static_cast<double>(use.busy) / static_cast<double>(use.slots), 0.0, 1.0);
+    }
+
+    declare::ClassStatus classStatus(const control::Sources& sources, const core::ClassDeclaration& declared, const std::map<std::string, ServiceUse>& uses)
+    {
+        declare::ClassStatus status { .className = declared.name };
+        for (const core::DomainDigest& digest : sources.digests) {
+            for (const core::ClassLoad& load : digest.classes) {
+                if (load.className != declared.name)
+                    continue;
+                status.latency = std::max(status.latency, load.tailLatency);
+                status.requestsPerSecond += load.demand;
+                status.rejectedPerSecond += load.rejected;
+            }
+        }
+        const auto use = uses.find(declared.service);
+        status.headroom = use == uses.end() ? 0 : freeShare(use->second);
+        return status;
+    }
+
+}
+
+declare::Status measureStatus(const control::Sources& sources, const control::Published& published, core::WallTime wall)
+{
+    declare::Status status { .writtenAt = wall };
+    status.members = static_cast<std::uint32_t>(std::ranges::count_if(sources.members, [](const control::MemberSource& member) { return member.state == core::MemberState::Alive; }));
+    if (!sources.declarations)
+        return status;
+    const std::map<std::string, ServiceUse> uses = serviceUse(sources);
+    for (const core::ClassDeclaration& declared : sources.declarations->classes)
+        status.classes.push_back(classStatus(sources, declared, uses));
+    for (const control::DrainStatus& drain : published.drains)
+        status.drains.push_back({ .batch = drain.batch, .remaining = drain.share, .expectedEnd = drain.finish, .inTime = drain.state != control::DrainState::Late && drain.state != control::DrainState::Blocked });
+    return status;
+}
+
+StatusWriter::StatusWriter(asio::io_context& owner, platform::HttpClient& storeClient, Options writerOptions, Measure measureFunction)
+    : context(owner)
+    , client(storeClient)
+    , options(std::move(writerOptions))
+    , measure(std::move(measureFunction))
+    , lease({ .holder = this->options.holder })
+{
+}
+
+void StatusWriter::setCompeting(bool wanted)
+{
+    if (wanted == static_cast<bool>(this->activeFlag))
+        return;
+    if (!wanted) {
+        *this->activeFlag = false;
+        this->activeFlag.reset();
+        return;
+    }
+    this->activeFlag = std::make_shared<bool>(true);
+    asio::co_spawn(this->context, this->loop(this->activeFlag), asio::detached);
+}
+
+asio::awaitable<void> StatusWriter::loop(std::shared_ptr<bool> active)
+{
+    asio::steady_timer timer(this->context);
+    core::TimePoint nextWrite = wire::steadyNow();
+    while (*active) {
+        co_await this->advanceLease();
+        if (!*active)
+            co_return;
+        if (this->lease.isHeld(wire::steadyNow()) && wire::steadyNow() >= nextWrite) {
+            co_await this->writeStatus();
+            nextWrite = wire::steadyNow() + this->options.interval;
+        }
+        const core::TimePoint wake = this->lease.isHeld(wire::steadyNow()) ? std::min(nextWrite, this->lease.nextStep()) : this->lease.nextStep();
+        timer.expires_at(std::max(wake, wire::steadyNow() + std::chrono::milliseconds(100)));
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+// Reads, takes or renews the lease, whatever is due.
+asio::awaitable<void> StatusWriter::advanceLease()
+{
+    try {
+        if (this->lease.step(wire::steadyNow()) == platform::LeaseStep::Read) {
+            const platform::StoredObject current = co_await this->client.get(leaseKind, leaseName);
+            this->lease.observed(current, wire::steadyNow());
+        }
+        if (this->lease.step(wire::steadyNow()) == platform::LeaseStep::Write) {
+            const core::TimePoint sentAt = wire::steadyNow();
+            core::Object object;
+            object.kind = leaseKind;
+            object.name = leaseName;
+            object.content = this->lease.content();
+            const platform::WriteResult result = co_await this->client.put(object, this->lease.ifVersion());
+            this->lease.written(result, sentAt, wire::steadyNow());
+        }
+    } catch (const core::Error& error) {
+        wire::log(core::LogPart::Platform, spdlog::level::debug, "the status lease could not be advanced: {}", error.what());
+        this->lease.failed(wire::steadyNow());
+    }
+}
+
+asio::awaitable<void> StatusWriter::writeStatus()
+{
+    const std::uint64_t term = this->lease.term();
+    const std::optional<declare::Status> measured = this->measure();
+    if (!measured)
+        co_return;
+    try {
+        if (!this->writes.ifVersion(term)) {
+            const platform::StoredObject current = co_await this->client.get(statusKind, declare::statusName);
+            this->writes.observed(term, current.object.version.version);
+        }
+        const core::Object object = declare::statusObject(*measured);
+        const platform::WriteResult result = co_await this->client.put(object, *this->writes.ifVersion(term));
+        this->writes.written(term, result);
+    } catch (const core::Error& error) {
+        wire::log(core::LogPart::Platform, spdlog::level::debug, "the status could not be written: {}", error.what());
+    }
+}
+
+}
--- a/src/app/store_sync.h
+++ b/src/app/store_sync.h
@@ -34,6 +34,7 @@
     // Starts or ends the watch.
     void setWatching(bool);
 
+    bool isWatching() const { return static_cast<bool>(this->activeFlag); }
     bool storeIsUp() const { return this->up; }
     platform::HttpClient& client() { return this->httpClient; }
     void stop();
--- a/src/declare/keys.cpp
+++ b/src/declare/keys.cpp
@@ -56,6 +56,8 @@
             return "a UTC time such as \"2027-03-31T22:00:00Z\"";
         case Shape::Endpoint:
             return "an IPv4 address and port such as \"127.0.0.1:8080\"";
+        case Shape::ListenEndpoint:
+            return "an IPv4 address and port such as \"127.0.0.1:8080\"; port 0 lets the kernel choose";
         case Shape::EndpointList:
             return some + "IPv4 addresses with ports such as \"127.0.0.1:8080\"";
         case Shape::Choice:
@@ -108,6 +110,8 @@
         case Shape::Endpoint:
         case Shape::EndpointList:
             return isEndpoint(text);
+        case Shape::ListenEndpoint:
+            return isEndpoint(text) || (text.ends_with(":0") && isEndpoint(std::string(text.substr(0, text.size() - 1)) + '1'));
         case Shape::Choice:
             return std::ranges::find(key.choices, text) != key.choices.end();
         default:
--- a/src/declare/keys.h
+++ b/src/declare/keys.h
@@ -22,6 +22,7 @@
     Flag,
     Time,
     Endpoint,
+    ListenEndpoint, // port 0 lets the kernel choose
     EndpointList,
     Choice,
     Section,
--- /dev/null
+++ b/tests/io/process.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <optional>
+#include <poll.h>
+#include <string>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <vector>
+
+namespace cranberryshed::test {
+
+// A child process that runs the program under test. Its standard error is read through a pipe.
+class Process {
+public:
+    explicit Process(const std::vector<std::string>& arguments)
+    {
+        int ends[2] = {};
+        if (::pipe(ends) != 0)
+            std::abort();
+        this->child = ::fork();
+        if (this->child == 0) {
+            ::dup2(ends[1], STDOUT_FILENO);
+            ::dup2(ends[1], STDERR_FILENO);
+            ::close(ends[0]);
+            ::close(ends[1]);
+            std::vector<char*> list { const_cast<char*>(PROGRAM) };
+            for (const std::string& argument : arguments)
+                list.push_back(const_cast<char*>(argument.c_str()));
+            list.push_back(nullptr);
+            ::execv(PROGRAM, list.data());
+            ::_exit(127);
+        }
+        ::close(ends[1]);
+        this->output = ends[0];
+    }
+
+    Process(const Process&) = delete;
+    Process& operator=(const Process&) = delete;
+
+    ~Process()
+    {
+        if (this->child > 0) {
+            ::kill(this->child, SIGCONT);
+            ::kill(this->child, SIGKILL);
+            ::waitpid(this->child, nullptr, 0);
+        }
+        ::close(this->output);
+    }
+
+    void signal(int number) const { ::kill(this->child, number); }
+
+    // Waits for the end of the process and returns its exit code, or 128 plus the signal that ended it.
+    int wait()
+    {
+        int status = 0;
+        ::waitpid(this->child, &status, 0);
+        this->child = 0;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    }
+
+    // Reads the output until it contains `text`, for at most `seconds`. Returns all that was read.
+    std::string readUntil(const std::string& text, int seconds = 10)
+    {
+        const std::time_t end = std::time(nullptr) + seconds;
+        while (this->seen.find(text) == std::string::npos && std::time(nullptr) <= end) {
+            pollfd waiting { .fd = this->output, .events = POLLIN, .revents = 0 };
+            if (::poll(&waiting, 1, 200) <= 0)
+                continue;
+            char piece[4096];
+            const ssize_t count = ::read(this->output, piece, sizeof(piece));
+            if (count <= 0)
+                break;
+            this->seen.append(piece, static_cast<std::size_t>(count));
+        }
+        return this->seen;
+    }
+
+    std::string readAll() { return this->readUntil(std::string(1, '\0')); }
+
+private:
+    pid_t child = 0;
+    int output = -1;
+    std::string seen;
+};
+
+// A file that is removed with this object.
+class TemporaryFile {
+public:
+    explicit TemporaryFile(const std::string& content)
+    {
+        char name[] = "/tmp/cranberryshed-test-XXXXXX";
+        const int descriptor = ::mkstemp(name);
+        ::close(descriptor);
+        this->filePath = name;
+        std::ofstream(this->filePath) << content;
+    }
+    TemporaryFile(const TemporaryFile&) = delete;
+    TemporaryFile& operator=(const TemporaryFile&) = delete;
+    ~TemporaryFile() { ::unlink(this->filePath.c_str()); }
+
+    const std::string& path() const { return this->filePath; }
+
+private:
+    std::string filePath;
+};
+
+}
--- /dev/null
+++ b/tests/io/serve.cpp
@@ -0,0 +1,192 @@
+// Entry VMs as processes of their own: kills, freezes, replacement, outages of the store.
+
+#include "process.h"
+#include "vm_fixture.h"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+using namespace cranberryshed;
+using namespace cranberryshed::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int exitBadSettings = 2;
+
+// One `serve` process with the addresses that the kernel chose.
+class Served {
+public:
+    Served(const std::string& name, const std::string& store, const std::string& seed)
+        : settings(text(name, store, seed))
+        , process({ "serve", "--settings", this->settings.path() })
+    {
+        const std::string log = this->process.readUntil("other entry VMs on ");
+        this->callers = after(log, "serves callers on ");
+        this->admin = after(log, "operators on ");
+        this->peers = after(this->process.readUntil("\n", 1), "other entry VMs on ");
+    }
+
+    bool names(const std::string& address, const std::string& className = "stock") const
+    {
+        return RawClient(this->callers).ask(get("/v1/entry?class=" + className)).body.find(address) != std::string::npos;
+    }
+
+    boost::json::value dump() const
+    {
+        RawClient client(this->admin);
+        return boost::json::parse(client.ask(get("/v1/dump")).body);
+    }
+
+    std::string callers;
+    std::string admin;
+    std::string peers;
+
+private:
+    static std::string text(const std::string& name, const std::string& store, const std::string& seed)
+    {
+        return R"({ "name": ")" + name + R"(", "failureDomain": "north-1", // comments are allowed
+            "callerAddress": "127.0.0.1:0", "adminAddress": "127.0.0.1:0", "peerAddress": "127.0.0.1:0",
+            "storeAddress": ")"
+            + store + R"(", "peers": [)" + (seed.empty() ? "" : '"' + seed + '"') + R"(], "shutdown": { "acceptMs": 300, "drainMs": 20000 } })";
+    }
+
+    static std::string after(const std::string& log, const std::string& mark)
+    {
+        const std::size_t begin = log.find(mark) + mark.size();
+        return log.substr(begin, log.find_first_of(",\n", begin) - begin);
+    }
+
+    TemporaryFile settings;
+
+public:
+    Process process;
+};
+
+template <typename Condition>
+std::chrono::milliseconds timeUntil(Condition condition, std::chrono::milliseconds limit)
+{
+    const auto start = std::chrono::steady_clock::now();
+    while (!condition() && std::chrono::steady_clock::now() - start < limit)
+        std::this_thread::sleep_for(20ms);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start);
+}
+
+}
+
+// Guards against settings that are half understood, or refused one fault at a time.
+TEST_CASE("faulty settings are all named and end serve with exit code 2", "[serve]")
+{
+    TemporaryFile settings(R"({ "name": "vm 1", "trafficThreads": 0, "colour": "red", "log": { "level": "loud" } })");
+    Process process({ "serve", "--settings", settings.path() });
+    const std::string output = process.readAll();
+    CHECK(process.wait() == exitBadSettings);
+    for (const char* part : { "name: must be", "trafficThreads: must be a whole number from 1 to 64", "colour: unknown key", "log.level: must be one of debug", "callerAddress: is missing" })
+        CHECK_THAT(output, Catch::Contains(part));
+}
+
+// Guards against a stop that cuts off a half-sent archive, and against one that can't be forced.
+TEST_CASE("SIGTERM drains and exits with 0, a second one ends at once", "[serve]")
+{
+    VmFixture fixture;
+    Served vm("vm-1", fixture.store.endpoint(), "");
+    VmFixture::waitForLookup(vm.callers);
+    RawClient client(vm.callers);
+    client.send(get("/archives/1", "X-Work-Id: a\r\nX-Work-Us: 1000000\r\nX-Work-Bytes: 3000000\r\n"));
+    std::this_thread::sleep_for(100ms);
+    vm.process.signal(SIGTERM);
+    const RawAnswer answer = client.receive();
+    CHECK(answer.whole);
+    CHECK(answer.body.size() == 3'000'000);
+    CHECK(vm.process.wait() == 0);
+
+    Served other("vm-2", fixture.store.endpoint(), "");
+    VmFixture::waitForLookup(other.callers);
+    RawClient held(other.callers);
+    held.send(get("/archives/2", "X-Work-Us: 15000000\r\n"));
+    std::this_thread::sleep_for(100ms);
+    other.process.signal(SIGTERM);
+    std::this_thread::sleep_for(100ms);
+    const auto start = std::chrono::steady_clock::now();
+    other.process.signal(SIGTERM);
+    CHECK(other.process.wait() == 1);
+    CHECK(std::chrono::steady_clock::now() - start < 2s);
+}
+
+// Guards against look-ups that go on naming a dead or frozen entry VM, and against a frozen one that
+// stays out after it wakes.
+TEST_CASE("killed and frozen entry VMs leave the look-ups, and a woken one returns", "[serve]")
+{
+    VmFixture fixture;
+    Served first("vm-1", fixture.store.endpoint(), "");
+    Served second("vm-2", fixture.store.endpoint(), first.peers);
+    Served third("vm-3", fixture.store.endpoint(), first.peers);
+    VmFixture::waitForLookup(first.callers);
+    CHECK(timeUntil([&] { return first.names(second.callers) && first.names(third.callers); }, 10s) < 10s);
+    second.process.signal(SIGKILL);
+    third.process.signal(SIGSTOP);
+    CHECK(timeUntil([&] { return !first.names(second.callers) && !first.names(third.callers); }, 15s) < 15s);
+    third.process.signal(SIGCONT);
+    CHECK(timeUntil([&] { return first.names(third.callers) && third.names(third.callers); }, 15s) < 15s);
+}
+
+// Guards against a replaced VM that needs the store to start, and against a target that reverts when the
+// store comes back in an older state.
+TEST_CASE("a VM replaced while the store is down serves within 3 s, and no target reverts", "[serve]")
+{
+    VmFixture fixture;
+    Served first("vm-1", fixture.store.endpoint(), "");
+    VmFixture::waitForLookup(first.callers);
+    fixture.store.keepCopy();
+    const std::string content = R"({"class":"stock","latencyMs":77,"headroomPercent":0,"shiftCapPercentPerMinute":100})";
+    const auto current = fixture.store.list("target");
+    std::uint64_t version = 0;
+    for (const auto& stored : current)
+        version = stored.object.name == "stock" ? stored.object.version.version : version;
+    const std::uint64_t revision = ++fixture.revision;
+    fixture.store.put({ .kind = "target", .name = "stock", .version = { .revision = revision, .version = 0 }, .deleted = false, .content = content }, version);
+    const auto inForce = [&](const Served& vm) {
+        const boost::json::value dump = vm.dump();
+        return dump.at("configurationRevision").to_number<std::uint64_t>() == revision;
+    };
+    CHECK(timeUntil([&] { return inForce(first); }, 5s) < 5s);
+
+    fixture.store.control([](platform::StandInControl& control) { control.refuse = true; });
+    const auto start = std::chrono::steady_clock::now();
+    Served second("vm-2", fixture.store.endpoint(), first.peers);
+    CHECK(VmFixture::waitForLookup(second.callers).status() == 200);
+    CHECK(RawClient(second.callers).ask(get("/stock/1", "X-Work-Id: s\r\n")).status() == 200);
+    CHECK(std::chrono::steady_clock::now() - start < 3s);
+    CHECK(inForce(second));
+
+    fixture.store.restoreCopy();
+    fixture.store.control([](platform::StandInControl& control) { control.refuse = false; });
+    std::this_thread::sleep_for(2s);
+    CHECK(inForce(first));
+    CHECK(inForce(second));
+}
+
+// Guards against an order that runs twice when its entry VM dies after it was sent and the caller repeats it.
+TEST_CASE("an order whose entry VM is killed is not run again elsewhere", "[serve]")
+{
+    VmFixture fixture;
+    Served first("vm-1", fixture.store.endpoint(), "");
+    VmFixture::waitForLookup(first.callers, "order");
+    Served second("vm-2", fixture.store.endpoint(), first.peers);
+    VmFixture::waitForLookup(second.callers, "order");
+    const RawAnswer lookup = RawClient(first.callers).ask(get("/v1/entry?class=order"));
+    const std::string key(boost::json::parse(lookup.body).at("requestKey").as_string());
+    const std::string keyed = post("/orders/1", "bell", "X-Work-Id: order-1\r\nX-Work-Us: 500000\r\nX-Request-Key: " + key + "\r\n");
+    RawClient client(first.callers);
+    client.send(keyed);
+    CHECK(timeUntil([&] { return fixture.runs->runs("order-1") == 1; }, 5s) < 5s);
+    first.process.signal(SIGKILL);
+    first.process.wait();
+    CHECK(client.receive().status() == 0);
+    const RawAnswer repeated = RawClient(second.callers).ask(keyed);
+    CHECK(repeated.field("X-Cranberryshed-Run") == "may-have-run");
+    Served again("vm-1", fixture.store.endpoint(), second.peers);
+    VmFixture::waitForLookup(again.callers, "order");
+    CHECK(RawClient(again.callers).ask(keyed).field("X-Cranberryshed-Run") == "may-have-run");
+    CHECK(fixture.runs->runs("order-1") == 1);
+}
