--- a/bench/decisions/bench.h
+++ b/bench/decisions/bench.h
@@ -48,5 +48,6 @@
 void drain(Report&, std::uint64_t seed);
 void lookup(Report&, std::uint64_t seed);
 void regions(Report&, std::uint64_t seed);
+void platformCalls(Report&, std::uint64_t seed);
 
 }
--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -21,6 +21,7 @@
     Row { "drain", bench::drain },
     Row { "lookup", bench::lookup },
     Row { "regions", bench::regions },
+    Row { "platform", bench::platformCalls },
 };
 
 int usage()
--- /dev/null
+++ b/bench/decisions/platform.cpp
@@ -0,0 +1,107 @@
+// Calls per second that the store's client and its stand-in do on one thread, and the cost of large declarations.
+
+#include "decisions/bench.h"
+#include "declare/load.h"
+#include "declare/print.h"
+#include "platform/http_client.h"
+#include "platform/standin.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <chrono>
+
+namespace cranberryshed::bench {
+
+namespace {
+
+    // The platform's own rates. A stand-in that is slower would limit what is measured against it.
+    constexpr double platformReads = 2000;
+    constexpr double platformWrites = 500;
+
+    struct Bench {
+        explicit Bench(std::uint64_t seed)
+            : standIn(this->context)
+            , transport(this->context, this->standIn.endpoint())
+            , client(this->transport, { .writer = "bench", .seed = seed, .rate = { .perSecond = 1e6, .burst = 1e6 } })
+        {
+        }
+
+        // Runs `workers` coroutines until together they have done `count` calls. Returns calls per second.
+        template <typename Call>
+        double perSecond(unsigned workers, unsigned count, const Call& call)
+        {
+            unsigned next = 0;
+            unsigned running = workers;
+            auto worker = [&]() -> boost::asio::awaitable<void> {
+                while (next < count) {
+                    unsigned number = next++;
+                    co_await call(number);
+                }
+                --running;
+            };
+            auto start = std::chrono::steady_clock::now();
+            for (unsigned i = 0; i < workers; ++i)
+                boost::asio::co_spawn(this->context, worker(), boost::asio::detached);
+            while (running > 0)
+                this->context.run_one();
+            return count / std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+        }
+
+        boost::asio::io_context context;
+        platform::StandIn standIn;
+        platform::HttpTransport transport;
+        platform::HttpClient client;
+    };
+
+    core::Object object(const std::string& kind, unsigned number, std::string content)
+    {
+        return { .kind = kind, .name = std::to_string(number), .version = { .revision = 1, .version = 0 }, .deleted = false, .content = std::move(content) };
+    }
+
+    Line rateLine(const std::string& name, double rate, double least)
+    {
+        Line line { .bench = "platform", .name = name, .figures = { { "calls_per_s", rate } } };
+        if (least > 0) {
+            line.target = "calls_per_s >= " + std::to_string(static_cast<int>(least));
+            line.met = rate >= least;
+        }
+        return line;
+    }
+
+    double millisecondsOf(const auto& work)
+    {
+        auto start = std::chrono::steady_clock::now();
+        work();
+        return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - start).count();
+    }
+
+    // One object of caller blocks of about 0.6 MB.
+    std::vector<core::Object> blocksObject()
+    {
+        core::Declarations declarations;
+        for (std::uint32_t i = 0; i < 32'768; ++i)
+            declarations.blocks.push_back({ .firstAddress = 0x0a000000U + (i << 8U), .prefixLength = 24, .site = "randers" });
+        return declare::objectsOf(declarations);
+    }
+
+}
+
+void platformCalls(Report& report, std::uint64_t seed)
+{
+    Bench bench(seed);
+    platform::HttpClient& client = bench.client;
+    std::string small = R"({"nearestDomains":["jyl-1","jyl-2"]})";
+    report.add(rateLine("put, 1 at a time", bench.perSecond(1, 5'000, [&](unsigned i) { return client.put(object("site", i, small), 0); }), platformWrites));
+    report.add(rateLine("put, 16 at a time", bench.perSecond(16, 10'000, [&](unsigned i) { return client.put(object("batch", i, small), 0); }), platformWrites));
+    report.add(rateLine("get, 1 at a time", bench.perSecond(1, 10'000, [&](unsigned i) { return client.get("site", std::to_string(i % 5'000)); }), platformReads));
+    report.add(rateLine("get, 16 at a time", bench.perSecond(16, 20'000, [&](unsigned i) { return client.get("site", std::to_string(i % 5'000)); }), platformReads));
+    report.add(rateLine("list of 5,000", bench.perSecond(1, 20, [&](unsigned) { return client.list("site"); }), 0));
+
+    std::vector<core::Object> blocks = blocksObject();
+    report.add(rateLine("put of blocks", bench.perSecond(1, 40, [&](unsigned i) { return client.put(object("blocks", i, blocks.at(0).content), 0); }), 0));
+    report.add(rateLine("get of blocks", bench.perSecond(1, 100, [&](unsigned i) { return client.get("blocks", std::to_string(i % 40)); }), 0));
+    double loadTime = millisecondsOf([&] { declare::load(blocks); });
+    report.add({ .bench = "platform", .name = "load of blocks", .figures = { { "bytes", static_cast<double>(blocks.at(0).content.size()) }, { "blocks", 32'768 }, { "ms", loadTime } } });
+}
+
+}
