Bound the fleet's traffic and tell urgent rumors at once

Cause: at 100 members a member sent and received 11,863 B/s, an aggregator at 460 members 11,126 B/s; rumors went on for minutes after all knew them; a crash took 16.8 s until all of 460 members held the member for dead. Change: the interval between sums follows from byte budgets; a rumor heard again counts as sent; a burst of objects is announced and fetched once; suspicions, deaths and departures are told in short rounds besides probes, so the time to refute shrinks to 3 s + 0.3 s per doubling; a join is repeated once after 2 s.

--- a/bench/capacity/measures.cpp
+++ b/bench/capacity/measures.cpp
@@ -185,8 +185,12 @@
     const auto states = [&](auto accepts) {
         return [&simulation, crashed, accepts] {
             return onAll(simulation, [&](int i) {
-                const auto snapshot = simulation.node(i).snapshot(simulation.now());
-                return std::count_if(snapshot.members.begin(), snapshot.members.end(), [&](const auto& member) { return accepts(member.fact.state); }) >= crashed;
+                for (int victim = 0; victim < crashed; ++victim) {
+                    const fleet::MemberRecord* member = simulation.node(i).member(simulation.idOf(victim * domains));
+                    if (member && !accepts(member->fact.state))
+                        return false;
+                }
+                return true;
             });
         };
     };
@@ -196,6 +200,24 @@
     report.costs("failures", { { "members", members }, { "crashed", crashed }, { "suspectedByAllSeconds", seconds(suspected) }, { "deadAtAllSeconds", seconds(elapsed) } }, simulation, elapsed);
 }
 
+void measureFalseDeaths(Report& report, int members)
+{
+    Simulation simulation({ .members = members, .domains = 13, .loss = 0.2 });
+    settle(simulation);
+    simulation.resetCosts();
+    int suspicions = 0;
+    int deaths = 0;
+    for (int second = 0; second < 300; ++second) {
+        simulation.run(1s);
+        const auto snapshot = simulation.node(second % members).snapshot(simulation.now());
+        for (const auto& member : snapshot.members) {
+            suspicions += member.fact.state == core::MemberState::Suspect;
+            deaths += member.fact.state == core::MemberState::Dead;
+        }
+    }
+    report.costs("falseDeaths", { { "members", members }, { "loss", 0.2 }, { "seconds", 300 }, { "suspectsSeen", suspicions }, { "deadSeen", deaths } }, simulation, 300s);
+}
+
 void measureEncoding(Report& report)
 {
     const auto measure = [&](std::string_view name, const fleet::Message& message, int rounds) {
--- a/bench/capacity/measures.h
+++ b/bench/capacity/measures.h
@@ -22,6 +22,9 @@
 // Members of one failure domain that crash at once.
 void measureFailures(Report&, int members, int crashed);
 
+// Healthy members that any other one holds for dead while 20 % of datagrams are lost for five minutes.
+void measureFalseDeaths(Report&, int members);
+
 void measureEncoding(Report&);
 
 // Real sockets on loopback: the cost with system calls and coroutines.
--- a/bench/capacity/simulation.cpp
+++ b/bench/capacity/simulation.cpp
@@ -1,5 +1,6 @@
 #include "capacity/simulation.h"
 
+#include "core/hash.h"
 #include "wire/peer_codec.h"
 
 #include <ctime>
@@ -37,6 +38,7 @@
     : options(simulationOptions)
     , random(simulationOptions.seed)
     , nodes(static_cast<std::size_t>(simulationOptions.members))
+    , ids(static_cast<std::size_t>(simulationOptions.members))
     , running(static_cast<std::size_t>(simulationOptions.members))
     , armed(static_cast<std::size_t>(simulationOptions.members), core::TimePoint::max())
     , cost(static_cast<std::size_t>(simulationOptions.members))
@@ -63,6 +65,7 @@
         .incarnation = core::Incarnation { 1 },
         .seeds = { addressOf(0), addressOf(1) },
         .randomSeed = this->random() };
+    this->ids[index] = fleet::MemberId { core::hashBytes(node.name) };
     this->nodes[index] = std::make_unique<fleet::Node>(node, this->time);
     this->running[index] = true;
     this->armed[index] = core::TimePoint::max();
--- a/bench/capacity/simulation.h
+++ b/bench/capacity/simulation.h
@@ -50,6 +50,7 @@
 
     void publish(int member, core::Object);
     void publish(int member, const fleet::Item&);
+    fleet::MemberId idOf(int number) const { return this->ids[static_cast<std::size_t>(number)]; }
     fleet::Node& node(int number) { return *this->nodes[static_cast<std::size_t>(number)]; }
     int members() const { return this->options.members; }
     bool runs(int number) const { return this->running[static_cast<std::size_t>(number)]; }
@@ -94,6 +95,7 @@
     core::TimePoint nextLoads = time;
     std::uint64_t nextOrder = 0;
     std::vector<std::unique_ptr<fleet::Node>> nodes;
+    std::vector<fleet::MemberId> ids;
     std::vector<bool> running;
     std::vector<core::TimePoint> armed;
     std::vector<MemberCost> cost;
--- a/src/fleet/digests.cpp
+++ b/src/fleet/digests.cpp
@@ -10,13 +10,19 @@
 
 namespace {
 
-    // 13 failure domains with 8 classes are about 4 KB, which each member receives once per interval.
     constexpr core::Duration shortestInterval = 1s;
-    constexpr core::Duration longestInterval = 5s;
-    constexpr core::Duration intervalPerMember = 11ms;
+    constexpr core::Duration longestInterval = 10s;
+    // The interval is chosen so that a member receives sums, and an aggregator reports, at most at these rates.
+    // Both are parts of the 6 KB/s that control may take per member.
+    constexpr double sumBytesPerSecond = 800;
+    constexpr double reportBytesPerSecond = 2000;
+    constexpr std::size_t reportOverhead = 60; // headers of the message and of its datagram
     // Intervals after which a member's report no longer counts. Several datagrams in a row may be lost; the
     // report of a member that died goes with the member.
-    constexpr int reportLife = 5;
+    constexpr int reportLife = 8;
+    // Intervals after which the second aggregator publishes. A sum is about one interval old when it is formed, and one
+    // push may be lost.
+    constexpr int overdueAfter = 4;
     constexpr core::Duration sumLife = 10min;
     constexpr core::Duration askAgain = 1s;
     constexpr std::size_t datagramContent = 1000;
@@ -36,9 +42,14 @@
 {
 }
 
-core::Duration Digests::interval() const
+void Digests::chooseInterval()
 {
-    return std::clamp<core::Duration>(intervalPerMember * this->membership.liveCount(), shortestInterval, longestInterval);
+    std::size_t sumBytes = 0;
+    for (const auto& [domain, sum] : this->sums)
+        sumBytes += wireSize(sum.load);
+    const std::size_t reportBytes = this->own ? this->domainMembers * (wireSize(this->own->load) + reportOverhead) : 0;
+    const double wanted = std::max(static_cast<double>(sumBytes) / sumBytesPerSecond, static_cast<double>(reportBytes) / reportBytesPerSecond);
+    this->currentInterval = std::clamp(std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(wanted)), shortestInterval, longestInterval);
 }
 
 void Digests::setLoad(const core::DomainDigest& load, core::TimePoint now)
@@ -49,15 +60,17 @@
 }
 
 // The names of regions and failure domains are in the members' records.
-void Digests::learnNames()
+void Digests::learnMembers()
 {
     if (this->learntMembers == this->membership.changes())
         return;
     this->learntMembers = this->membership.changes();
     const std::vector<const MemberRecord*> members = this->membership.all();
+    this->domainMembers = 0;
     for (const MemberRecord* member : members) {
         this->names.learn(member->domain);
         this->names.learn(member->region);
+        this->domainMembers += isLive(member->fact.state) && member->domain == this->membership.self().domain;
     }
     this->aggregators = pick(members, this->membership.self().domain, Duty::AggregateLoads);
 }
@@ -66,8 +79,9 @@
 {
     if (now < this->nextReport)
         return;
+    this->learnMembers();
+    this->chooseInterval();
     this->nextReport = now + this->interval();
-    this->learnNames();
     std::erase_if(this->sums, [&](const auto& sum) { return now - sum.second.at > sumLife; });
     const MemberId self = this->membership.self().fact.id;
     if (std::find(this->aggregators.begin(), this->aggregators.end(), self) == this->aggregators.end()) {
@@ -85,26 +99,28 @@
     this->report(now, outbox);
 }
 
-void Digests::report(core::TimePoint now, Outbox& outbox) const
+// Reports to the first aggregator in each interval and to the second one, which only stands by, in every other.
+void Digests::report(core::TimePoint now, Outbox& outbox)
 {
+    this->standByTurn = !this->standByTurn;
     if (!this->own)
         return;
     for (MemberId id : this->aggregators) {
-        if (id != this->membership.self().fact.id)
+        if (id != this->membership.self().fact.id && (id == this->aggregators.front() || this->standByTurn))
             outbox.push_back(outgoing(this->membership.find(id)->peerAddress, LoadReport { this->aged(*this->own, now) }));
     }
 }
 
-// A member that just became aggregator waits until all others have reported. The second one publishes only
+// A member that just became aggregator waits until all others have reported to it. The second one publishes only
 // while no sum arrives from the first.
 bool Digests::mayPublish(core::TimePoint now) const
 {
-    if (now - this->aggregatingSince < this->interval())
+    if (now - this->aggregatingSince < 2 * this->interval())
         return false;
     if (this->aggregators.front() == this->membership.self().fact.id)
         return true;
     auto known = this->sums.find(nameId(this->membership.self().domain));
-    return known == this->sums.end() || now - known->second.at > 2 * this->interval() + this->interval() / 2;
+    return known == this->sums.end() || now - known->second.at > overdueAfter * this->interval();
 }
 
 // Adds the reports of the live members of this failure domain, each once.
--- a/src/fleet/digests.h
+++ b/src/fleet/digests.h
@@ -31,8 +31,9 @@
     std::vector<core::DomainDigest> digests() const;
     std::uint64_t changes() const { return this->changeCount; }
 
-    // Time between two sums of a failure domain; it grows with the fleet, so that traffic per member does not.
-    core::Duration interval() const;
+    // Time between two sums of a failure domain. It grows with the sums' size and with the members of the failure
+    // domain, so that traffic per member does not.
+    core::Duration interval() const { return this->currentInterval; }
 
 private:
     struct Measured {
@@ -40,8 +41,9 @@
         core::TimePoint at {}; // this process's time
     };
 
-    void learnNames();
-    void report(core::TimePoint now, Outbox&) const;
+    void learnMembers();
+    void chooseInterval();
+    void report(core::TimePoint now, Outbox&);
     void sum(core::TimePoint now);
     void spreadSum(core::TimePoint now, core::RandomEngine&, Outbox&) const;
     bool mayPublish(core::TimePoint now) const;
@@ -60,8 +62,11 @@
     std::map<NameId, Measured> sums; // by failure domain
     std::map<NameId, core::TimePoint> askedNames;
     core::TimePoint nextReport;
+    core::Duration currentInterval = std::chrono::seconds(1);
+    bool standByTurn = false;
     core::TimePoint aggregatingSince = core::TimePoint::max();
     std::uint64_t learntMembers = UINT64_MAX; // Membership::changes() at the last look
+    std::size_t domainMembers = 0; // live ones in the own failure domain
     std::vector<MemberId> aggregators; // of the own failure domain
     std::uint64_t changeCount = 0;
 };
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <bit>
 #include <tuple>
+#include <utility>
 
 namespace cranberryshed::fleet {
 
@@ -11,22 +12,27 @@
 
 namespace {
 
-    // A suspect has this long to refute, and one second more for each doubling of the fleet, in which
-    // gossip takes one more round.
+    // A suspect has this long to refute, and more for each doubling of the fleet, for which gossip takes one
+    // more round each way.
     constexpr core::Duration suspicionBase = 3s;
-    constexpr core::Duration suspicionPerDoubling = 1s;
+    constexpr core::Duration suspicionPerDoubling = 300ms;
+    constexpr core::Duration roundTime = 200ms;
+    constexpr std::size_t peersPerRound = 3;
     constexpr core::Duration deadMemory = 1h;
     // Regions that lost each other find each other again this soon, with one datagram per member and period.
     constexpr core::Duration revisitPeriod = 10s;
     constexpr core::Duration joinRetry = 1s;
     constexpr core::Duration joinRetryLong = 5s;
+    // When many members start together, the first answers name few of them.
+    constexpr core::Duration joinRepeat = 2s;
     constexpr int quickJoinAttempts = 5;
     constexpr int attemptsBeforeAlone = 3;
     constexpr std::size_t joinTargets = 3;
     constexpr core::Duration refreshLimit = 5s;
     constexpr core::Duration askAgain = 1s;
-    // Piggybacked facts take at most 200 bytes of a datagram, records at most 400.
-    constexpr std::size_t factsPerMessage = 8;
+    // Piggybacked facts take at most 400 bytes of a datagram, records at most 400. A failure domain of 35
+    // members that fails at once needs many facts; with none to tell they take no bytes.
+    constexpr std::size_t factsPerMessage = 16;
     constexpr std::size_t recordsPerMessage = 3;
     constexpr std::size_t announceTargets = 4;
 
@@ -71,13 +77,16 @@
     const MemberFact fact = options.self.fact;
     this->members.emplace(this->selfId, Member { .record = std::move(options.self) });
     this->hashes.toggle(static_cast<std::uint64_t>(fact.id), hashOf(fact));
-    this->spread(this->selfId, true);
+    this->spread(this->selfId, true, now);
 }
 
 void Membership::start(core::TimePoint now, core::RandomEngine& random, Outbox& outbox)
 {
     this->prober.reset(now);
+    this->nextRound = now;
+    this->nextRevisit = now + revisitPeriod;
     this->hasJoined = this->seeds.empty();
+    this->joinAgain = !this->seeds.empty();
     if (!this->hasJoined)
         this->join(now, random, outbox);
 }
@@ -127,7 +136,7 @@
 
 core::TimePoint Membership::nextTimer() const
 {
-    return std::min({ this->prober.nextTimer(), this->nextDeadline, this->nextJoin, this->nextRevisit, this->refreshEnds });
+    return std::min({ this->prober.nextTimer(), this->nextDeadline, this->nextRound, this->nextJoin, this->nextRepeat, this->nextRevisit, this->refreshEnds });
 }
 
 void Membership::due(core::TimePoint now, core::RandomEngine& random, Outbox& outbox)
@@ -142,10 +151,23 @@
         this->expire(now);
     if (now >= this->nextJoin)
         this->join(now, random, outbox);
+    if (now >= this->nextRound)
+        this->tell(now, random, outbox);
+    if (now >= this->nextRepeat) {
+        this->nextRepeat = core::TimePoint::max();
+        for (const MemberRecord* peer : this->randomPeers(1, random))
+            this->askToJoin(peer->peerAddress, outbox);
+    }
     if (now >= this->nextRevisit)
         this->revisitLost(now, random, outbox);
 }
 
+void Membership::askToJoin(const std::string& address, Outbox& outbox) const
+{
+    outbox.push_back(outgoing(address, Join {}, Transport::Stream));
+    outbox.back().message.records.push_back(this->self());
+}
+
 // Asks a few peers or seeds for the whole membership, until one answers.
 void Membership::join(core::TimePoint now, core::RandomEngine& random, Outbox& outbox)
 {
@@ -154,23 +176,23 @@
     for (const MemberRecord* peer : this->randomPeers(joinTargets - 1, random))
         targets.push_back(peer->peerAddress);
     std::sample(this->seeds.begin(), this->seeds.end(), std::back_inserter(targets), static_cast<std::ptrdiff_t>(joinTargets - targets.size()), random);
-    for (const std::string& address : targets) {
-        outbox.push_back(outgoing(address, Join {}, Transport::Stream));
-        outbox.back().message.records.push_back(this->self());
-    }
+    for (const std::string& address : targets)
+        this->askToJoin(address, outbox);
     // A first member finds nobody. It serves, and goes on asking.
     if (this->joinAttempts > attemptsBeforeAlone)
         this->hasJoined = true;
     this->nextJoin = now + (this->joinAttempts < quickJoinAttempts ? joinRetry : joinRetryLong);
 }
 
-void Membership::onJoinReply()
+void Membership::onJoinReply(core::TimePoint now)
 {
     this->hasJoined = true;
     this->isRefreshing = false;
     this->refreshEnds = core::TimePoint::max();
     this->nextJoin = core::TimePoint::max();
     this->joinAttempts = 0;
+    if (std::exchange(this->joinAgain, false))
+        this->nextRepeat = now + joinRepeat;
 }
 
 void Membership::refresh(core::TimePoint now, core::RandomEngine& random, Outbox& outbox)
@@ -244,7 +266,7 @@
         this->nextDeadline = std::min(this->nextDeadline, member.deadline);
 }
 
-void Membership::announce(MemberState state, core::TimePoint, core::RandomEngine& random, Outbox& outbox)
+void Membership::announce(MemberState state, core::TimePoint now, core::RandomEngine& random, Outbox& outbox)
 {
     Member& own = this->members.at(this->selfId);
     this->hashes.toggle(static_cast<std::uint64_t>(this->selfId), hashOf(own.record.fact));
@@ -252,14 +274,37 @@
     own.record.fact.state = state;
     this->hashes.toggle(static_cast<std::uint64_t>(this->selfId), hashOf(own.record.fact));
     ++this->changeCount;
-    this->spread(this->selfId, false);
+    this->spread(this->selfId, false, now);
     for (const MemberRecord* peer : this->randomPeers(announceTargets, random))
         this->prober.ping(peer->peerAddress, { own.record.fact }, outbox);
 }
 
-void Membership::spread(MemberId id, bool withRecord)
+void Membership::spread(MemberId id, bool withRecord, core::TimePoint now)
 {
     this->rumors[id] = { .sends = 0, .withRecord = withRecord };
+    this->nextRound = std::min(this->nextRound, std::max(now, this->lastRound + roundTime));
+}
+
+// Sends rumors to a few random members at once and in short rounds, besides what probes carry: the time to
+// refute runs for a suspect, and callers are sent to members that are dead or leaving.
+void Membership::tell(core::TimePoint now, core::RandomEngine& random, Outbox& outbox)
+{
+    this->lastRound = now;
+    for (const MemberRecord* peer : this->randomPeers(peersPerRound, random)) {
+        if (this->rumors.empty())
+            break;
+        outbox.push_back(outgoing(peer->peerAddress, Records {}));
+        this->piggyback(outbox.back().message);
+    }
+    this->nextRound = this->rumors.empty() || this->live.empty() ? core::TimePoint::max() : now + roundTime;
+}
+
+// Another member knows the rumor as well, so it needs to be sent less often.
+void Membership::hearAgain(MemberId id)
+{
+    auto rumor = this->rumors.find(id);
+    if (rumor != this->rumors.end() && ++rumor->second.sends >= this->sendLimit())
+        this->rumors.erase(rumor);
 }
 
 void Membership::piggyback(Message& message)
@@ -306,7 +351,7 @@
     this->enter(record.fact);
     this->unknown.erase(record.fact.id);
     this->change(member, record.fact, now);
-    this->spread(record.fact.id, true);
+    this->spread(record.fact.id, true, now);
 }
 
 void Membership::change(Member& member, const MemberFact& fact, core::TimePoint now)
@@ -322,11 +367,11 @@
     else if (!isLive(fact.state))
         member.deadline = now + deadMemory;
     this->nextDeadline = std::min(this->nextDeadline, member.deadline);
-    this->spread(fact.id, false);
+    this->spread(fact.id, false, now);
     ++this->changeCount;
 }
 
-void Membership::learnOfSelf(const MemberFact& fact)
+void Membership::learnOfSelf(const MemberFact& fact, core::TimePoint now)
 {
     Member& own = this->members.at(this->selfId);
     MemberFact& known = own.record.fact;
@@ -338,13 +383,13 @@
     known.refutation = fact.refutation + 1;
     this->hashes.toggle(static_cast<std::uint64_t>(this->selfId), hashOf(known));
     ++this->changeCount;
-    this->spread(this->selfId, false);
+    this->spread(this->selfId, false, now);
 }
 
-void Membership::learn(const MemberFact& fact, const MemberRecord* record, core::TimePoint now)
+void Membership::learn(const MemberFact& fact, const MemberRecord* record, bool news, core::TimePoint now)
 {
     if (fact.id == this->selfId) {
-        this->learnOfSelf(fact);
+        this->learnOfSelf(fact, now);
         return;
     }
     auto known = this->members.find(fact.id);
@@ -357,6 +402,8 @@
     if (known == this->members.end()) {
         if (isLive(fact.state))
             this->insert(*record, now);
+        if (!news)
+            this->rumors.erase(fact.id);
         return;
     }
     Member& member = known->second;
@@ -365,8 +412,11 @@
     // overtook the suspicion. The member gets its time to refute.
     if (heard.state == MemberState::Dead && isLive(member.record.fact.state) && member.record.fact.state != MemberState::Suspect)
         heard.state = MemberState::Suspect;
-    if (!outdoes(heard, member.record.fact))
+    if (!outdoes(heard, member.record.fact)) {
+        if (heard == member.record.fact)
+            this->hearAgain(fact.id);
         return;
+    }
     if (newStart) {
         const MemberFact before = member.record.fact;
         member.record = *record;
@@ -374,7 +424,7 @@
     }
     this->change(member, heard, now);
     if (newStart)
-        this->spread(fact.id, true);
+        this->spread(fact.id, true, now);
 }
 
 }
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -60,13 +60,16 @@
         bool withRecord = false; // others may not know the member at all
     };
 
-    void learn(const MemberFact&, const MemberRecord*, core::TimePoint now);
-    void learnOfSelf(const MemberFact&);
+    // `news`: others may not know it yet, so it is spread.
+    void learn(const MemberFact&, const MemberRecord*, bool news, core::TimePoint now);
+    void learnOfSelf(const MemberFact&, core::TimePoint now);
     void insert(const MemberRecord&, core::TimePoint now);
     void change(Member&, const MemberFact&, core::TimePoint now);
     void enter(const MemberFact&);
     void exit(const MemberFact&);
-    void spread(MemberId, bool withRecord);
+    void spread(MemberId, bool withRecord, core::TimePoint now);
+    void hearAgain(MemberId);
+    void tell(core::TimePoint now, core::RandomEngine&, Outbox&);
     void suspect(MemberId, core::TimePoint now, Outbox&);
     void expire(core::TimePoint now);
     core::Duration suspicionTime() const;
@@ -74,13 +77,14 @@
     Prober::View proberView() const;
 
     void join(core::TimePoint now, core::RandomEngine&, Outbox&);
+    void askToJoin(const std::string& address, Outbox&) const;
     void revisitLost(core::TimePoint now, core::RandomEngine&, Outbox&);
     void learnFromHeader(Context&, core::TimePoint now);
     void askForUnknown(Context&, core::TimePoint now);
     void answerProbes(Context&, core::TimePoint now);
     void tellSenderOfItself(Context&) const;
     void answerJoin(Context&) const;
-    void onJoinReply();
+    void onJoinReply(core::TimePoint now);
     void answerRecordsWanted(Context&, const RecordsWanted&) const;
     void answerSync(Context&, const Sync&) const;
     void answerBuckets(Context&, const Buckets&, core::RandomEngine&) const;
@@ -98,10 +102,14 @@
     core::TimePoint nextDeadline = core::TimePoint::max();
     core::TimePoint nextJoin = core::TimePoint::max();
     int joinAttempts = 0;
+    core::TimePoint nextRepeat = core::TimePoint::max(); // of the join
+    core::TimePoint nextRound = core::TimePoint::max(); // of telling rumors
+    core::TimePoint lastRound {};
     core::TimePoint nextRevisit;
     core::TimePoint refreshEnds = core::TimePoint::max();
     std::uint64_t changeCount = 0;
     bool hasJoined = false;
+    bool joinAgain = false; // once, for the members that joined at the same time
     bool isRefreshing = false;
     bool isSuperseded = false;
 };
--- a/src/fleet/membership_answers.cpp
+++ b/src/fleet/membership_answers.cpp
@@ -40,7 +40,7 @@
     if (context.body<Join>())
         this->answerJoin(context);
     else if (context.body<JoinReply>())
-        this->onJoinReply();
+        this->onJoinReply(now);
     else if (const auto* wanted = context.body<RecordsWanted>())
         this->answerRecordsWanted(context, *wanted);
     else if (const auto* sync = context.body<Sync>())
@@ -49,7 +49,7 @@
         this->answerBuckets(context, *buckets, random);
     else if (const auto* bucket = context.body<MemberBucket>()) {
         for (const MemberFact& fact : bucket->facts)
-            this->learn(fact, nullptr, now);
+            this->learn(fact, nullptr, true, now);
         this->answerBucket(context, *bucket);
     }
     this->askForUnknown(context, now);
@@ -58,10 +58,12 @@
 void Membership::learnFromHeader(Context& context, core::TimePoint now)
 {
     const Message& message = context.received.message;
+    // The answer to a join names members that the fleet knows already.
+    const bool news = !context.body<JoinReply>();
     for (const MemberRecord& record : message.records)
-        this->learn(record.fact, &record, now);
+        this->learn(record.fact, &record, news, now);
     for (const MemberFact& fact : message.facts)
-        this->learn(fact, nullptr, now);
+        this->learn(fact, nullptr, true, now);
     if (!this->find(message.sender))
         this->unknown.try_emplace(message.sender, core::TimePoint::min());
 }
--- a/src/fleet/objects.cpp
+++ b/src/fleet/objects.cpp
@@ -17,10 +17,11 @@
 
     // A content larger than this is announced and fetched; with its header it fits a datagram of 1,200 bytes.
     constexpr std::size_t pushLimit = 900;
+    constexpr std::size_t burstLimit = 4 * pushLimit;
     constexpr core::Duration roundTime = 200ms;
     // Twelve sends per member reach a given member with probability 1 - e^-12 (e^-9 with 20 % loss).
     constexpr std::size_t peersPerRound = 3;
-    constexpr int roundsPerRumor = 4;
+    constexpr int sendsPerRumor = 12;
 
     ObjectId idOf(const core::Object& object)
     {
@@ -59,6 +60,10 @@
     core::Object object { .kind = std::string(core::nameOf(item.kind)), .name = item.key, .version = {}, .deleted = item.withdrawn, .content = item.content };
     const ObjectId id = idOf(object);
     auto known = this->entries.find(id);
+    // All members that see the same thing state it; only the first statement has to travel.
+    if (known != this->entries.end() && known->second.object->deleted == object.deleted && known->second.object->content == object.content
+        && known->second.expiresAt - now >= item.remaining / 2)
+        return;
     // The member's id makes versions of different members differ, so that all members keep the same one.
     object.version = { .revision = known == this->entries.end() ? 1 : known->second.object->version.revision + 1,
         .version = static_cast<std::uint64_t>(this->membership.self().fact.id) };
@@ -69,8 +74,11 @@
 bool Objects::store(ObjectId id, Entry entry, core::TimePoint now)
 {
     auto known = this->entries.find(id);
-    if (known != this->entries.end() && known->second.object->version >= entry.object->version)
+    if (known != this->entries.end() && known->second.object->version >= entry.object->version) {
+        if (known->second.object->version == entry.object->version)
+            this->hearAgain(id);
         return false;
+    }
     if (known != this->entries.end())
         this->hashes.toggle(static_cast<std::uint64_t>(id), hashOf(id, known->second.object->version));
     this->hashes.toggle(static_cast<std::uint64_t>(id), hashOf(id, entry.object->version));
@@ -79,7 +87,7 @@
     auto asking = this->asked.find(id);
     if (asking == this->asked.end() || asking->second.news) {
         this->rumors[id] = 0;
-        this->nextRound = std::min(this->nextRound, now);
+        this->nextRound = std::min(this->nextRound, std::max(now, this->lastRound + roundTime));
     }
     if (asking != this->asked.end())
         this->asked.erase(asking);
@@ -87,6 +95,14 @@
     return true;
 }
 
+// Another member knows the rumor as well, so it needs to be sent less often.
+void Objects::hearAgain(ObjectId id)
+{
+    auto rumor = this->rumors.find(id);
+    if (rumor != this->rumors.end() && ++rumor->second >= sendsPerRumor)
+        this->rumors.erase(rumor);
+}
+
 void Objects::erase(ObjectId id)
 {
     auto known = this->entries.find(id);
@@ -124,37 +140,52 @@
         this->spread(now, random, outbox);
 }
 
-// The rumors of one round: those sent least often, as many as fit one datagram.
-std::vector<ObjectId> Objects::nextRumors()
+// The rumors of one round: those sent least often, as many as fit one datagram. A rumor takes the part of the
+// datagram that `size` gives.
+std::vector<ObjectId> Objects::nextRumors(const std::function<std::size_t(ObjectId)>& size)
 {
     std::vector<std::pair<int, ObjectId>> order;
-    for (const auto& [id, rounds] : this->rumors)
-        order.emplace_back(rounds, id);
+    for (const auto& [id, sends] : this->rumors)
+        order.emplace_back(sends, id);
     std::sort(order.begin(), order.end());
     std::vector<ObjectId> result;
     std::size_t bytes = 0;
-    for (const auto& [rounds, id] : order) {
-        const std::size_t size = wireSize(*this->entries.at(id).object);
-        const std::size_t part = size <= pushLimit ? size : sizeof(ObjectFact);
-        if (!result.empty() && bytes + part > pushLimit)
+    for (const auto& [sends, id] : order) {
+        bytes += size(id);
+        if (!result.empty() && bytes > pushLimit)
             break;
-        bytes += part;
         result.push_back(id);
-        if (rounds + 1 == roundsPerRumor)
+        if (sends + static_cast<int>(peersPerRound) >= sendsPerRumor)
             this->rumors.erase(id);
         else
-            this->rumors[id] = rounds + 1;
+            this->rumors[id] = sends + static_cast<int>(peersPerRound);
     }
     return result;
 }
 
+// Whether there is more to tell than a few datagrams hold. Then versions are announced instead of content,
+// so that each member fetches each content once.
+bool Objects::isBurst() const
+{
+    std::size_t bytes = 0;
+    for (const auto& [id, sends] : this->rumors) {
+        bytes += std::min(wireSize(*this->entries.at(id).object), pushLimit);
+        if (bytes > burstLimit)
+            return true;
+    }
+    return false;
+}
+
 void Objects::spread(core::TimePoint now, core::RandomEngine& random, Outbox& outbox)
 {
+    this->lastRound = now;
     ObjectPush push;
     ObjectAnnounce announce;
-    for (ObjectId id : this->nextRumors()) {
+    const bool burst = this->isBurst();
+    const auto isPushed = [&](ObjectId id) { return !burst && wireSize(*this->entries.at(id).object) <= pushLimit; };
+    for (ObjectId id : this->nextRumors([&](ObjectId rumor) { return isPushed(rumor) ? wireSize(*this->entries.at(rumor).object) : sizeof(ObjectFact); })) {
         const Entry& entry = this->entries.at(id);
-        if (wireSize(*entry.object) <= pushLimit)
+        if (isPushed(id))
             push.entries.push_back(this->wire(entry, now));
         else
             announce.facts.push_back(this->factOf(id, entry));
--- a/src/fleet/objects.h
+++ b/src/fleet/objects.h
@@ -5,6 +5,7 @@
 #include "fleet/messages.h"
 #include "fleet/view.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -62,10 +63,12 @@
     };
 
     bool store(ObjectId, Entry, core::TimePoint now);
+    void hearAgain(ObjectId);
     void erase(ObjectId);
     void expire(core::TimePoint now);
     void spread(core::TimePoint now, core::RandomEngine&, Outbox&);
-    std::vector<ObjectId> nextRumors();
+    std::vector<ObjectId> nextRumors(const std::function<std::size_t(ObjectId)>& size);
+    bool isBurst() const;
 
     ObjectFact factOf(ObjectId, const Entry&) const;
     ObjectEntry wire(const Entry&, core::TimePoint now) const;
@@ -80,10 +83,11 @@
 
     const Membership& membership;
     std::map<ObjectId, Entry> entries;
-    std::map<ObjectId, int> rumors; // rounds in which the object was sent
+    std::map<ObjectId, int> rumors; // how often the object was sent, and heard from others that know it
     std::unordered_map<ObjectId, Asked> asked; // content under way
     BucketHashes hashes;
     core::TimePoint nextRound = core::TimePoint::max();
+    core::TimePoint lastRound {};
     core::TimePoint nextExpiry = core::TimePoint::max();
     std::uint64_t changeCount = 0;
 };
--- a/src/fleet/objects_answers.cpp
+++ b/src/fleet/objects_answers.cpp
@@ -72,8 +72,11 @@
     std::erase_if(this->asked, [&](const auto& asking) { return asking.second.until <= now; });
     for (const ObjectFact& fact : facts) {
         auto known = this->entries.find(fact.id);
-        if (known != this->entries.end() && known->second.object->version >= fact.version)
+        if (known != this->entries.end() && known->second.object->version >= fact.version) {
+            if (news && known->second.object->version == fact.version)
+                this->hearAgain(fact.id);
             continue;
+        }
         const core::Duration transfer = (bytes + fact.bytes) * timePerKilobyte / 1000;
         if (!this->asked.try_emplace(fact.id, Asked { .until = now + askAgain + transfer, .news = news }).second)
             continue;
--- a/src/fleet/pipeline.h
+++ b/src/fleet/pipeline.h
@@ -90,7 +90,8 @@
     // if so, it is sent to other members at the next due(), which nextTimer() then asks for at once.
     bool publish(core::Object, core::TimePoint now);
 
-    // States something about a key for a limited time. It replaces what was known about that key.
+    // States something about a key for a limited time. It replaces what was known about that key, unless that says
+    // the same for at least half as long.
     void publish(const Item&, core::TimePoint now);
 
     // The loads of this member. `domain`, `measuredAt` and `members` are filled in here.
@@ -103,6 +104,9 @@
     Snapshot snapshot(core::TimePoint now) const;
     Changes changes() const;
 
+    // One member's record, or null. Valid until the next call that is not const.
+    const MemberRecord* member(MemberId id) const { return this->membership.find(id); }
+
 private:
     void noticePause(core::TimePoint now, Outbox&);
     void exchange(core::TimePoint now, Outbox&);
--- a/tests/pure/membership.cpp
+++ b/tests/pure/membership.cpp
@@ -175,9 +175,16 @@
     shuffler.crash(2);
     shuffler.run(1s);
     shuffler.start(2, { 0 }, 2);
-    CHECK(shuffler.runUntil([&] { return shuffler.agree(); }, 10s));
-    for (const auto& member : shuffler.snapshot(4).members)
-        CHECK(member.fact.incarnation == core::Incarnation { member.name == Shuffler::nameOf(2) ? 2U : 1U });
+    auto newStartKnown = [&] {
+        for (int observer : shuffler.running()) {
+            for (const auto& member : shuffler.snapshot(observer).members) {
+                if (member.fact.incarnation != core::Incarnation { member.name == Shuffler::nameOf(2) ? 2U : 1U })
+                    return false;
+            }
+        }
+        return shuffler.agree();
+    };
+    CHECK(shuffler.runUntil(newStartKnown, 5s));
 }
 
 // Guards against a duty that nobody has, or that moves although its holder did not change.
