Let more requests run outside the home part

Change: two requests may always run outside the home part, and 16 times this VM's equal part of the free slots that the reports show (1 and 8 before).

--- a/src/request/choose.h
+++ b/src/request/choose.h
@@ -77,8 +77,8 @@
         ServerBook::Options book {};
         std::size_t homeSample = 8; // home servers compared for one choice
         std::size_t restSample = 4; // others compared, and the logarithm of their number more
-        double spillFactor = 8; // requests outside the home part, in this VM's equal part of the free slots
-        std::size_t leastSpill = 1; // that may always run outside the home part
+        double spillFactor = 16; // requests outside the home part, in this VM's equal part of the free slots
+        std::size_t leastSpill = 2; // that may always run outside the home part
         // Time after an ejection during which servers with good answers come first among the others.
         core::Duration cautious = std::chrono::seconds(10);
         std::uint32_t threads = 1; // traffic threads of the process, which share the regions' limits
