Measure retries, second attempts, and the cost of engine and keys

Cause: the budgets and the default of hedging need figures. Change: bench_decisions retries and hedge, on the fake row of the tests, ours beside the naive engine.

--- a/bench/decisions/bench.h
+++ b/bench/decisions/bench.h
@@ -45,6 +45,8 @@
 void headOfLine(Report&, std::uint64_t seed);
 void choice(Report&, std::uint64_t seed);
 void admission(Report&, std::uint64_t seed);
+void hedge(Report&, std::uint64_t seed);
+void retries(Report&, std::uint64_t seed);
 void drain(Report&, std::uint64_t seed);
 void lookup(Report&, std::uint64_t seed);
 void regions(Report&, std::uint64_t seed);
--- /dev/null
+++ b/bench/decisions/engine_run.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "decisions/bench.h"
+#include "rig/world.h"
+
+#include <algorithm>
+
+namespace cranberryshed::bench {
+
+// What callers of short idempotent requests got from a row of servers.
+struct RowResult {
+    std::vector<double> milliseconds; // of answered requests
+    std::uint64_t requests = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t failed = 0;
+
+    double percentile(double share)
+    {
+        if (this->milliseconds.empty())
+            return 0;
+        const auto position = static_cast<std::ptrdiff_t>(share * static_cast<double>(this->milliseconds.size() - 1));
+        std::nth_element(this->milliseconds.begin(), this->milliseconds.begin() + position, this->milliseconds.end());
+        return this->milliseconds[static_cast<std::size_t>(position)];
+    }
+
+    double failedPercent() const { return 100.0 * static_cast<double>(this->failed) / static_cast<double>(this->requests); }
+    double extraPercent() const { return 100.0 * (static_cast<double>(this->attempts) / static_cast<double>(this->requests) - 1); }
+};
+
+struct RowLoad {
+    double load = 0.5; // share of all slots
+    core::Duration meanWork = std::chrono::milliseconds(5);
+    core::Duration time = std::chrono::seconds(10);
+};
+
+// Sends short requests at a constant mean rate. `prepare` adds faults to the world before it runs.
+template <typename EngineType>
+RowResult runRow(const rig::WorldOptions& options, const RowLoad& load, std::uint64_t seed, const typename rig::World<EngineType>::MakeEngine& makeEngine, const std::function<void(rig::World<EngineType>&)>& prepare)
+{
+    rig::World<EngineType> world(options, seed, makeEngine);
+    world.publishEvery(std::chrono::milliseconds(100));
+    prepare(world);
+    RowResult result;
+    const double slots = options.table.servers * options.table.slots;
+    const double perSecond = load.load * slots / std::chrono::duration<double>(load.meanWork).count();
+    std::exponential_distribution<double> gap(perSecond);
+    std::exponential_distribution<double> work(1.0 / static_cast<double>(load.meanWork.count()));
+    const auto onOutcome = [&](core::RequestId id, const rig::Outcome& outcome) {
+        if (outcome.error)
+            ++result.failed;
+        else
+            result.milliseconds.push_back(static_cast<double>((outcome.at - world.arrivals[id].at).count()) / 1000);
+    };
+    std::function<void()> arrive = [&] {
+        request::RequestArrived arrival;
+        arrival.method = "GET";
+        arrival.target = "/read";
+        arrival.fingerprint = core::Fingerprint { world.random() };
+        ++result.requests;
+        world.send(world.random() % world.vms.size(), 0, std::move(arrival), false, core::Duration(static_cast<core::Duration::rep>(work(world.random))), onOutcome);
+        world.scheduler.after(core::Duration(static_cast<core::Duration::rep>(1e6 * gap(world.random))), arrive);
+    };
+    arrive();
+    world.scheduler.runUntil(world.scheduler.now() + load.time);
+    result.attempts = world.counts.attempts;
+    return result;
+}
+
+}
--- /dev/null
+++ b/bench/decisions/hedge.cpp
@@ -0,0 +1,54 @@
+#include "decisions/engine_run.h"
+
+namespace cranberryshed::bench {
+
+namespace {
+
+    constexpr double slowShare = 0.05; // of the time, for each server by itself
+    constexpr double slowness = 10;
+    constexpr auto slowTime = std::chrono::milliseconds(200);
+
+    // Each server is slow for moments, independently of the others.
+    template <typename EngineType>
+    void addStragglers(rig::World<EngineType>& world, std::size_t server)
+    {
+        std::exponential_distribution<double> gap(slowShare / static_cast<double>(core::Duration(slowTime).count()));
+        world.scheduler.after(core::Duration(static_cast<core::Duration::rep>(gap(world.random))), [&world, server] {
+            world.servers[server]->slowness = slowness;
+            world.scheduler.after(slowTime, [&world, server] {
+                world.servers[server]->slowness = 1;
+                addStragglers(world, server);
+            });
+        });
+    }
+
+    template <typename ChooserType>
+    void measure(Report& report, const std::string& chooserName, std::uint64_t seed)
+    {
+        using EngineType = request::Engine<ChooserType>;
+        const rig::WorldOptions options { .table = { .servers = 12, .domains = 3 }, .vms = 3 };
+        for (const double load : { 0.3, 0.5, 0.7 }) {
+            for (const bool enabled : { false, true }) {
+                request::EngineOptions engineOptions;
+                engineOptions.hedge.enabled = enabled;
+                RowResult result = runRow<EngineType>(
+                    options, { .load = load, .time = std::chrono::seconds(20) }, seed, [&](std::size_t vm, const request::Shared& shared) { return std::make_unique<EngineType>(engineOptions, ChooserType(), shared, seed * 10 + vm); },
+                    [](rig::World<EngineType>& world) {
+                        for (std::size_t i = 0; i < world.servers.size(); ++i)
+                            addStragglers(world, i);
+                    });
+                const std::string name = chooserName + ", load " + std::to_string(load).substr(0, 3) + (enabled ? ", hedged" : ", plain");
+                report.add({ .bench = "hedge", .name = name, .figures = { { "p50_ms", result.percentile(0.5) }, { "p95_ms", result.percentile(0.95) }, { "p99_ms", result.percentile(0.99) }, { "p999_ms", result.percentile(0.999) }, { "extra_attempts_percent", result.extraPercent() }, { "failed_percent", result.failedPercent() } }, .target = {} });
+            }
+        }
+    }
+
+}
+
+void hedge(Report& report, std::uint64_t seed)
+{
+    measure<request::HomeSubset>(report, "home subset", seed);
+    measure<request::RoundRobin>(report, "round robin", seed);
+}
+
+}
--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -18,6 +18,8 @@
     Row { "choice", bench::choice },
     Row { "headofline", bench::headOfLine },
     Row { "admission", bench::admission },
+    Row { "hedge", bench::hedge },
+    Row { "retries", bench::retries },
     Row { "drain", bench::drain },
     Row { "lookup", bench::lookup },
     Row { "regions", bench::regions },
--- /dev/null
+++ b/bench/decisions/retries.cpp
@@ -0,0 +1,117 @@
+#include "decisions/engine_run.h"
+#include "rig/naive.h"
+
+#include <chrono>
+#include <malloc.h>
+
+namespace cranberryshed::bench {
+
+namespace {
+
+    using RealEngine = request::Engine<request::HomeSubset>;
+
+    constexpr std::uint32_t rowSize = 12;
+    constexpr std::size_t entryVms = 3;
+
+    rig::WorldOptions rowOptions()
+    {
+        return { .table = { .servers = rowSize, .domains = 3 }, .vms = entryVms, .detection = std::chrono::seconds(1) };
+    }
+
+    void addLine(Report& report, const std::string& name, RowResult result, bool ours)
+    {
+        Line line { .bench = "retries", .name = name, .figures = { { "failed_percent", result.failedPercent() }, { "extra_attempts_percent", result.extraPercent() }, { "p50_ms", result.percentile(0.5) }, { "p99_ms", result.percentile(0.99) } }, .target = {} };
+        if (ours) {
+            line.target = "extra attempts <= 5 %";
+            line.met = result.extraPercent() <= 5;
+        }
+        report.add(line);
+    }
+
+    // Runs ours and the naive engine on the same faults. `fault` is called 2 s after the start and undone after 6 s.
+    void compare(Report& report, const std::string& name, std::uint64_t seed, const std::function<void(rig::FakeServer&, bool on)>& fault, std::uint32_t affected)
+    {
+        const auto prepare = [&](auto& world) {
+            for (const bool on : { true, false }) {
+                world.scheduler.after(std::chrono::seconds(on ? 2 : 6), [&world, &fault, affected, on] {
+                    for (std::uint32_t i = 0; i < affected; ++i)
+                        fault(*world.servers[i * rowSize / affected], on);
+                });
+            }
+        };
+        addLine(report, name + ", ours",
+            runRow<RealEngine>(
+                rowOptions(), {}, seed, [seed](std::size_t vm, const request::Shared& shared) { return std::make_unique<RealEngine>(request::EngineOptions {}, request::HomeSubset(), shared, seed * 10 + vm); }, prepare),
+            true);
+        addLine(report, name + ", naive",
+            runRow<rig::NaiveEngine>(
+                rowOptions(), {}, seed, [seed](std::size_t vm, const request::Shared&) { return std::make_unique<rig::NaiveEngine>(seed * 10 + vm); }, prepare),
+            false);
+    }
+
+    // Time of the engine's own work for one answered request: arrival, head, end.
+    void engineCost(Report& report, std::uint64_t seed)
+    {
+        constexpr std::uint64_t rounds = 200'000;
+        const auto table = rig::makeTable({ .servers = 25, .domains = 2, .members = 9 });
+        RealEngine engine({}, request::HomeSubset(), request::makeShared("vm", core::Incarnation { 1 }, seed), seed);
+        engine.setTable(table);
+        core::TimePoint now { std::chrono::hours(1) };
+        request::Commands commands;
+        request::Observations observations;
+        const auto start = std::chrono::steady_clock::now();
+        for (std::uint64_t i = 1; i <= rounds; ++i) {
+            request::RequestArrived arrival;
+            arrival.request = core::RequestId { i };
+            arrival.host = "stock.example";
+            arrival.method = "GET";
+            arrival.target = "/read/part/4711?site=north";
+            arrival.fingerprint = core::Fingerprint { i };
+            commands.clear();
+            observations.clear();
+            now += std::chrono::microseconds(50);
+            engine.handle(std::move(arrival), now, commands, observations);
+            const core::AttemptId attempt = std::get<request::SendAttempt>(commands.front()).attempt;
+            now += std::chrono::milliseconds(2);
+            engine.handle(request::AnswerStarted { .request = core::RequestId { i }, .attempt = attempt, .status = 200 }, now, commands, observations);
+            engine.handle(request::AttemptEnded { .request = core::RequestId { i }, .attempt = attempt, .result = core::AttemptResult::Answered, .status = 200, .retryAfter = {} }, now, commands, observations);
+        }
+        const std::chrono::duration<double, std::micro> elapsed = std::chrono::steady_clock::now() - start;
+        report.add({ .bench = "retries", .name = "engine cost, 25 servers", .figures = { { "us_per_request", elapsed.count() / rounds } }, .target = {} });
+    }
+
+    void keyCost(Report& report, std::uint64_t seed)
+    {
+        constexpr std::size_t count = 100'000;
+        request::KeyLedger ledger(1, core::Incarnation { 1 }, {}, seed);
+        const core::TimePoint now { std::chrono::hours(1) };
+        std::vector<std::string> keys;
+        for (std::size_t i = 0; i < count; ++i)
+            keys.push_back(ledger.issue(now));
+        const std::size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
+        const auto start = std::chrono::steady_clock::now();
+        for (const std::string& key : keys)
+            ledger.claim(key, core::Fingerprint { 1 }, now);
+        const std::chrono::duration<double, std::micro> elapsed = std::chrono::steady_clock::now() - start;
+        const std::size_t bytes = mallinfo2().uordblks + mallinfo2().hblkhd - before;
+        report.add({ .bench = "retries", .name = "request key, claim", .figures = { { "bytes_per_key", static_cast<double>(bytes) / count }, { "us_per_claim", elapsed.count() / count } }, .target = {} });
+    }
+
+}
+
+void retries(Report& report, std::uint64_t seed)
+{
+    const auto down = [](rig::FakeServer& server, bool on) { server.setUp(!on); };
+    const auto refuse = [](rig::FakeServer& server, bool on) { server.refusing = on; };
+    const auto stall = [](rig::FakeServer& server, bool on) { server.slowness = on ? 40 : 1; };
+    compare(report, "2 of 12 servers down", seed, down, 2);
+    compare(
+        report, "one of 3 domains down", seed, [down](rig::FakeServer& server, bool on) { down(server, on); }, 4);
+    compare(report, "4 of 12 servers refuse", seed, refuse, 4);
+    compare(report, "all servers refuse", seed, refuse, rowSize);
+    compare(report, "2 of 12 servers stall", seed, stall, 2);
+    engineCost(report, seed);
+    keyCost(report, seed);
+}
+
+}
--- a/tests/pure/retry.cpp
+++ b/tests/pure/retry.cpp
@@ -86,8 +86,8 @@
         hedges.onSuccess();
         extra += (retries.trySpend(now) ? 1 : 0) + (hedges.trySpend(now) ? 1 : 0);
     }
-    CHECK(extra <= requests / 20 + retry.budget.minimum);
-    CHECK(extra > requests / 25);
+    CHECK(extra <= 0.05 * requests);
+    CHECK(extra > 0.04 * requests);
     unsigned duringOutage = 0;
     for (unsigned i = 0; i < 10'000; ++i) {
         now += milliseconds(1);
