--- a/bench/decisions/platform.cpp
+++ b/bench/decisions/platform.cpp
@@ -42,8 +42,8 @@
             auto start = std::chrono::steady_clock::now();
             for (unsigned i = 0; i < workers; ++i)
                 boost::asio::co_spawn(this->context, worker(), boost::asio::detached);
-            while (running > 0)
-                this->context.run_one();
+            for (std::size_t ran = 1; ran > 0 && running > 0;)
+                ran = this->context.run_one();
             return count / std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
         }
 
--- a/tests/io/admin.cpp
+++ b/tests/io/admin.cpp
@@ -1,13 +1,16 @@
 #include "io/admin_fixture.h"
 
 #include "admin/pipeline.h"
+#include "declare/status.h"
 
 #include <algorithm>
+#include <boost/json.hpp>
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
 
 namespace admin = cranberryshed::admin;
 namespace core = cranberryshed::core;
+namespace declare = cranberryshed::declare;
 namespace platform = cranberryshed::platform;
 using cranberryshed::tests::AdminFixture;
 using cranberryshed::tests::DumpServer;
@@ -202,3 +205,47 @@
     fixture.run(admin::wait, options);
     CHECK(fixture.code == 0);
 }
+
+// Guards against a status that hides a target that is missed, a late drain or an old measurement.
+TEST_CASE("status marks what is not met", "[admin]")
+{
+    AdminFixture fixture;
+    writeSmallSet(fixture);
+    fixture.run(admin::apply, fixture.options());
+    core::WallTime written = fixture.options().now - std::chrono::minutes(2);
+    declare::Status status { .writtenAt = written, .members = 9, .classes = { { .className = "stock-lookup", .latency = std::chrono::milliseconds(151), .headroom = 0.4, .requestsPerSecond = 120, .rejectedPerSecond = 0 } }, .drains = { { .batch = "ledger-2024", .remaining = 0.5, .expectedEnd = *declare::parseTime("2027-04-01T00:00:00Z"), .inTime = false } } };
+    fixture.standIn.put(declare::statusObject(status), 0);
+    std::string text = fixture.run(admin::status, fixture.options());
+    CHECK(contains(text, "measured at 2026-12-04T11:58:00Z by 9 members, STALE\n"));
+    CHECK(contains(text, "class/stock-lookup: NOT MET; latency 151.0 ms of 150.0 ms, headroom 40.0 % of 30.0 %"));
+    CHECK(contains(text, "batch/ledger-2024: contract ends 2027-03-31T22:00:00Z; draining, 50.0 % left, done by 2027-04-01T00:00:00Z, TOO LATE"));
+}
+
+// Guards against output that scripts can't parse, in any command and with any end.
+TEST_CASE("every command prints one JSON value with --output json", "[admin]")
+{
+    AdminFixture fixture;
+    admin::Options options = fixture.options();
+    options.output = admin::OutputForm::Json;
+    options.members = { fixture.member(1).endpoint() };
+    auto parsed = [&](int (*command)(const admin::Options&, std::ostream&), int code) {
+        boost::json::value value = boost::json::parse(fixture.run(command, options));
+        CHECK(fixture.code == code);
+        return value;
+    };
+    fixture.file("b.json", "{");
+    CHECK(parsed(admin::check, 2).at("problems").as_array().size() == 1);
+    CHECK(parsed(admin::apply, 2).at("error").at("kind") == "bad-declaration");
+    writeSmallSet(fixture);
+    CHECK(parsed(admin::check, 0).at("problems").as_array().empty());
+    CHECK(parsed(admin::diff, 0).at("differences").as_array().size() == 6);
+    CHECK(parsed(admin::apply, 0).at("writes").as_array().size() == 6);
+    CHECK(parsed(admin::get, 0).as_array().size() == 6);
+    CHECK(parsed(admin::status, 0).at("classes").as_array().size() == 1);
+    CHECK_FALSE(parsed(admin::wait, 6).at("inForce").as_bool());
+    options.kind = "no-such-kind";
+    CHECK(parsed(admin::get, 2).at("error").at("kind") == "bad-usage");
+    fixture.standIn.control([](platform::StandInControl& control) { control.refuse = true; });
+    options.kind.clear();
+    CHECK(parsed(admin::get, 4).at("error").at("kind") == "store-unavailable");
+}
--- a/tests/io/declare.cpp
+++ b/tests/io/declare.cpp
@@ -96,6 +96,7 @@
     json::value content = json::parse(R"({ "service": "a b", "methods": [ "GET", "get" ], "pathPrefix": "x", "repeat": "sometimes", "length": 3, "deadlineMs": 0, "typicalBytes": 1.5, "deadline": 5 })");
     std::vector<declare::Problem> problems = declare::checkContent(Kind::Class, "clone", content, UnknownKeys::Refuse);
     std::vector<std::string> paths;
+    paths.reserve(problems.size());
     for (const declare::Problem& problem : problems)
         paths.push_back(problem.path);
     CHECK(paths == std::vector<std::string> { "class/clone service", "class/clone methods[1]", "class/clone pathPrefix", "class/clone repeat", "class/clone length", "class/clone deadlineMs", "class/clone typicalBytes", "class/clone deadline" });
--- a/tests/io/policy.cpp
+++ b/tests/io/policy.cpp
@@ -79,6 +79,7 @@
 std::string page(std::uint64_t version, const std::vector<core::Object>& objects)
 {
     std::vector<std::string> texts;
+    texts.reserve(objects.size());
     for (const core::Object& object : objects)
         texts.push_back(platform::encodeObject({ .object = object, .mark = {} }));
     return platform::encodePage(version, texts, "");
