Measure the end of a partition and test that traffic does not grow

Cause: neither the cost of a merge at 460 members nor the bound on messages per member was checked. Change: bench_capacity cuts 115 of 460 members off for 120 s; a test compares messages and facts per member at 10 and 80 members; lint findings repaired.

--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -22,6 +22,7 @@
         bench::measureEjections(report, ejections);
     for (int crashed : { 1, 35 })
         bench::measureFailures(report, 460, crashed);
+    bench::measurePartition(report, 460);
     bench::measureFalseDeaths(report, 100);
     bench::measureEncoding(report);
     for (int members : { 3, 30 })
--- a/bench/capacity/measures.cpp
+++ b/bench/capacity/measures.cpp
@@ -48,6 +48,7 @@
     std::optional<core::Duration> reachAll(Simulation& simulation, core::Object content)
     {
         std::vector<std::uint64_t> before;
+        before.reserve(static_cast<std::size_t>(simulation.members()));
         for (int i = 0; i < simulation.members(); ++i)
             before.push_back(simulation.node(i).changes().objects);
         simulation.publish(simulation.members() / 2, std::move(content));
@@ -200,6 +201,30 @@
     report.costs("failures", { { "members", members }, { "crashed", crashed }, { "suspectedByAllSeconds", seconds(suspected) }, { "deadAtAllSeconds", seconds(elapsed) } }, simulation, elapsed);
 }
 
+void measurePartition(Report& report, int members)
+{
+    constexpr int regions = 4;
+    Simulation simulation({ .members = members, .domains = 13 });
+    settle(simulation);
+    simulation.cut(members / regions);
+    simulation.run(120s);
+    simulation.cut(0);
+    simulation.resetCosts();
+    const auto merged = simulation.runUntil(
+        [&] {
+            return onAll(simulation, [&](int i) {
+                for (int other = 0; other < members; ++other) {
+                    const fleet::MemberRecord* member = simulation.node(i).member(simulation.idOf(other));
+                    if (!member || member->fact.state != core::MemberState::Alive)
+                        return false;
+                }
+                return true;
+            });
+        },
+        120s);
+    report.costs("partition", { { "members", members }, { "cutOff", members / regions }, { "cutSeconds", 120 }, { "mergedAfterSeconds", seconds(merged) } }, simulation, merged.value_or(120s));
+}
+
 void measureFalseDeaths(Report& report, int members)
 {
     Simulation simulation({ .members = members, .domains = 13, .loss = 0.2 });
--- a/bench/capacity/measures.h
+++ b/bench/capacity/measures.h
@@ -22,6 +22,10 @@
 // Members of one failure domain that crash at once.
 void measureFailures(Report&, int members, int crashed);
 
+// A quarter of the members loses contact with the others for two minutes; the time until all hold all for alive
+// again, and what a member sends and receives meanwhile.
+void measurePartition(Report&, int members);
+
 // Healthy members that any other one holds for dead while 20 % of datagrams are lost for five minutes.
 void measureFalseDeaths(Report&, int members);
 
--- a/bench/capacity/report.cpp
+++ b/bench/capacity/report.cpp
@@ -11,8 +11,13 @@
 {
     if (!this->json) {
         std::cout << section << ':';
-        for (const auto& field : fields)
-            std::cout << ' ' << std::string_view(field.key().data(), field.key().size()) << '=' << json::serialize(field.value());
+        for (const auto& field : fields) {
+            std::cout << ' ' << std::string_view(field.key().data(), field.key().size()) << '=';
+            if (field.value().is_double())
+                std::cout << field.value().as_double();
+            else
+                std::cout << json::serialize(field.value());
+        }
         std::cout << '\n'
                   << std::flush;
     }
--- a/bench/capacity/simulation.cpp
+++ b/bench/capacity/simulation.cpp
@@ -155,6 +155,8 @@
         sender.bytesOut += size;
         this->bodyBytes[out.message.body.index()] += size;
         const int target = std::stoi(out.address.substr(out.address.find(':') + 1)) - 10000;
+        if ((from < this->cutOff) != (target < this->cutOff))
+            continue;
         if (datagram && std::uniform_real_distribution<double>(0, 1)(this->random) < this->options.loss)
             continue;
         if (target < this->options.members && this->runs(target))
--- a/bench/capacity/simulation.h
+++ b/bench/capacity/simulation.h
@@ -43,6 +43,9 @@
     void start();
     void startOne(int number);
     void crash(int number) { this->running[static_cast<std::size_t>(number)] = false; }
+
+    // Cuts the first members off from all others; 0 ends it.
+    void cut(int first) { this->cutOff = first; }
     void run(core::Duration);
 
     // Runs until the condition holds, which is checked every 20 ms. Returns the simulated time it took.
@@ -94,6 +97,7 @@
     core::TimePoint time { std::chrono::hours(1) };
     core::TimePoint nextLoads = time;
     std::uint64_t nextOrder = 0;
+    int cutOff = 0;
     std::vector<std::unique_ptr<fleet::Node>> nodes;
     std::vector<fleet::MemberId> ids;
     std::vector<bool> running;
--- a/src/fleet/buckets.h
+++ b/src/fleet/buckets.h
@@ -30,6 +30,7 @@
     std::vector<std::uint32_t> compact() const
     {
         std::vector<std::uint32_t> result;
+        result.reserve(count);
         for (std::uint64_t hash : this->hashes)
             result.push_back(static_cast<std::uint32_t>(hash));
         return result;
--- a/src/fleet/digests.cpp
+++ b/src/fleet/digests.cpp
@@ -166,7 +166,8 @@
     auto known = this->sums.find(sum.domain);
     if (known != this->sums.end() && measuredAt <= known->second.at + this->interval() / 2)
         return false;
-    this->sums.insert_or_assign(sum.domain, Measured { .load = std::move(sum), .at = measuredAt });
+    const NameId domain = sum.domain;
+    this->sums.insert_or_assign(domain, Measured { .load = std::move(sum), .at = measuredAt });
     ++this->changeCount;
     return true;
 }
@@ -181,6 +182,7 @@
 std::vector<Sync::DigestAge> Digests::ages(core::TimePoint now) const
 {
     std::vector<Sync::DigestAge> result;
+    result.reserve(this->sums.size());
     for (const auto& [domain, sum] : this->sums)
         result.push_back({ .domain = domain, .ageMs = static_cast<std::uint32_t>((now - sum.at) / 1ms) });
     return result;
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -100,6 +100,7 @@
 std::vector<const MemberRecord*> Membership::all() const
 {
     std::vector<const MemberRecord*> result;
+    result.reserve(this->members.size());
     for (const auto& [id, member] : this->members)
         result.push_back(&member.record);
     return result;
@@ -110,6 +111,7 @@
     std::vector<const MemberRecord*> result;
     std::vector<MemberId> ids;
     std::sample(this->live.begin(), this->live.end(), std::back_inserter(ids), static_cast<std::ptrdiff_t>(count), random);
+    result.reserve(ids.size());
     for (MemberId id : ids)
         result.push_back(this->find(id));
     return result;
@@ -310,6 +312,7 @@
 void Membership::piggyback(Message& message)
 {
     std::vector<std::pair<int, MemberId>> order;
+    order.reserve(this->rumors.size());
     for (const auto& [id, rumor] : this->rumors)
         order.emplace_back(rumor.sends, id);
     const std::size_t count = std::min(factsPerMessage, order.size());
--- a/src/fleet/objects.cpp
+++ b/src/fleet/objects.cpp
@@ -145,6 +145,7 @@
 std::vector<ObjectId> Objects::nextRumors(const std::function<std::size_t(ObjectId)>& size)
 {
     std::vector<std::pair<int, ObjectId>> order;
+    order.reserve(this->rumors.size());
     for (const auto& [id, sends] : this->rumors)
         order.emplace_back(sends, id);
     std::sort(order.begin(), order.end());
--- a/src/wire/peer_encode.cpp
+++ b/src/wire/peer_encode.cpp
@@ -74,9 +74,11 @@
     flatbuffers::Offset<peer::Digest> packDigest(Builder& builder, const fleet::PackedDigest& digest)
     {
         std::vector<peer::ClassLoad> classes;
+        classes.reserve(digest.classes.size());
         for (const fleet::PackedClass& load : digest.classes)
             classes.emplace_back(raw(load.name), load.demand, load.rejected, load.inFlight, load.meanTime, load.tailLatency);
         std::vector<peer::Capacity> capacities;
+        capacities.reserve(digest.capacities.size());
         for (const fleet::PackedCapacity& capacity : digest.capacities)
             capacities.emplace_back(raw(capacity.service), raw(capacity.region), capacity.slots, capacity.busy);
         const auto classVector = builder.CreateVectorOfStructs(classes);
@@ -110,6 +112,7 @@
         Packed operator()(const fleet::Sync& body) const
         {
             std::vector<peer::DigestAge> ages;
+            ages.reserve(body.digests.size());
             for (const fleet::Sync::DigestAge& age : body.digests)
                 ages.emplace_back(raw(age.domain), age.ageMs);
             const auto vector = this->builder.CreateVectorOfStructs(ages);
@@ -126,6 +129,7 @@
         Packed operator()(const fleet::ObjectPush& body) const
         {
             std::vector<flatbuffers::Offset<peer::ObjectEntry>> entries;
+            entries.reserve(body.entries.size());
             for (const fleet::ObjectEntry& entry : body.entries)
                 entries.push_back(packEntry(this->builder, entry));
             return this->finish(peer::CreateObjectPush(this->builder, this->builder.CreateVector(entries)));
@@ -140,6 +144,7 @@
         Packed operator()(const fleet::DigestPush& body) const
         {
             std::vector<flatbuffers::Offset<peer::Digest>> digests;
+            digests.reserve(body.digests.size());
             for (const fleet::PackedDigest& digest : body.digests)
                 digests.push_back(packDigest(this->builder, digest));
             return this->finish(peer::CreateDigestPush(this->builder, this->builder.CreateVector(digests)));
--- a/tests/pure/digests.cpp
+++ b/tests/pure/digests.cpp
@@ -156,6 +156,7 @@
             packed.push_back(fleet::packDigest(one, names));
         }
         std::vector<const fleet::PackedDigest*> parts;
+        parts.reserve(packed.size());
         for (const auto& part : packed)
             parts.push_back(&part);
         const auto sum = fleet::unpackDigest(fleet::sumDigests(parts), names);
--- a/tests/pure/membership.cpp
+++ b/tests/pure/membership.cpp
@@ -191,9 +191,11 @@
 TEST_CASE("two members of a failure domain have a duty, and it moves as little as possible", "[fleet]")
 {
     std::vector<fleet::MemberRecord> records;
+    records.reserve(30);
     for (int i = 0; i < 30; ++i)
         records.push_back({ .fact = { .id = fleet::MemberId { core::hashBytes(Shuffler::nameOf(i)) } }, .name = Shuffler::nameOf(i), .domain = Shuffler::domainOf(i) });
     std::vector<const fleet::MemberRecord*> members;
+    members.reserve(records.size());
     for (const auto& record : records)
         members.push_back(&record);
     const auto before = fleet::watchers(members, "domain-1");
@@ -208,3 +210,20 @@
     }
     CHECK(fleet::watchers(members, "elsewhere").empty());
 }
+
+// Guards against traffic per member that grows with the fleet.
+TEST_CASE("messages and facts per member do not grow with the fleet", "[fleet]")
+{
+    auto perMember = [](int members) {
+        Shuffler shuffler({ .seed = 8 });
+        shuffler.startFleet(members);
+        shuffler.run(40s);
+        std::size_t units = 0;
+        shuffler.onSend = [&](int, const fleet::Outgoing& out) { units += 1 + out.message.facts.size() + out.message.records.size(); };
+        shuffler.run(30s);
+        return static_cast<double>(units) / members / 30;
+    };
+    const double small = perMember(10);
+    CHECK(small < 6);
+    CHECK(perMember(80) < 1.2 * small);
+}
