--- a/bench/decisions/main.cpp
+++ b/bench/decisions/main.cpp
@@ -18,7 +18,10 @@
     Row { "choice", bench::choice },
     Row { "headofline", bench::headOfLine },
     Row { "admission", bench::admission },
+    Row { "drain", bench::drain },
     Row { "lookup", bench::lookup },
+    Row { "regions", bench::regions },
+    Row { "platform", bench::platformCalls },
 };
 
 int usage()
--- a/src/app/arguments.cpp
+++ b/src/app/arguments.cpp
@@ -16,7 +16,9 @@
     try {
         po::store(po::command_line_parser(arguments).options(options).positional(positional).run(), values);
         if (values.contains("help")) {
-            std::cout << "usage: cranberryshed " << command << " [OPTIONS]\n" << summary << "\n\n" << options;
+            std::cout << "usage: cranberryshed " << command << " [OPTIONS]\n"
+                      << summary << "\n\n"
+                      << options;
             return std::nullopt;
         }
         if (values.contains("version")) {
@@ -35,12 +37,12 @@
     options.add_options()("output", po::value<std::string>()->default_value("text"), "text or json");
 }
 
-OutputFormat outputFormat(const po::variables_map& values)
+admin::OutputForm outputForm(const po::variables_map& values)
 {
     const std::string& name = values["output"].as<std::string>();
-    const std::optional<OutputFormat> format = core::parseName<OutputFormat>(name);
+    const std::optional<admin::OutputForm> format = core::parseName<admin::OutputForm>(name);
     if (!format)
-        throw core::Error(core::ErrorKind::BadUsage, "--output " + name + ": allowed are " + core::allNames<OutputFormat>());
+        throw core::Error(core::ErrorKind::BadUsage, "--output " + name + ": allowed are " + core::allNames<admin::OutputForm>());
     return *format;
 }
 
--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "app/health.h"
+#include "app/status_writer.h"
 #include "app/store_sync.h"
+#include "control/demand.h"
 #include "control/pipeline.h"
 #include "request/events.h"
 #include "wire/peer.h"
@@ -42,6 +44,8 @@
     const control::Published& lastPublished() const { return this->published; }
     const wire::Peer& peer() const { return this->peerNode; }
     bool storeIsUp() const { return this->store.storeIsUp(); }
+    bool watchesStore() const { return this->store.isWatching(); }
+    bool holdsStatusLease(core::TimePoint now) const { return this->status.holdsLease(now); }
 
 private:
     wire::Task<void> tickLoop();
@@ -49,7 +53,10 @@
     void run();
     void readObjects(const fleet::Snapshot&);
     void readMembers(const fleet::Snapshot&);
+    void readItems(const fleet::Snapshot&);
+    void shareLeavingServers();
     void pollHomeServers();
+    std::optional<declare::Status> measuredStatus() const;
     void take(const request::ServerObserved&);
     void take(const request::CrashObserved&);
     void take(const request::SuspectCleared&);
@@ -61,9 +68,12 @@
     wire::Peer peerNode;
     StoreSync store;
     HealthPoller health;
+    StatusWriter status;
     wire::Timer timer;
     control::Sources sources;
-    control::ControlPipe pipe;
+    control::ControlPipe pipe = control::makeControlPipe();
+    control::DemandMeter demand;
+    std::set<std::string> sharedLeaving; // servers whose leaving this VM has told the others
     control::Published published;
     fleet::Changes seen;
     bool objectsRead = false;
--- a/src/request/book.cpp
+++ b/src/request/book.cpp
@@ -7,13 +7,9 @@
 
 namespace cranberryshed::request {
 
-namespace {
-
-    bool mayGetWork(const core::ServerEntry& server)
-    {
-        return (server.state == core::ServerState::Active || server.state == core::ServerState::Warming) && server.warmth > 0;
-    }
-
+bool mayGetWork(const core::ServerEntry& server)
+{
+    return (server.state == core::ServerState::Active || server.state == core::ServerState::Warming) && server.warmth > 0;
 }
 
 void ServerBook::refresh(const core::SteeringTable& table)
@@ -81,8 +77,7 @@
         (server.home ? group->home : group->rest).push_back(index);
         const double usable = warmSlots(server);
         const double used = server.report ? server.report->inFlight : this->options.assumedUse * usable;
-        // A mean over many servers stays useful far longer than the report of one.
-        group->slots += usable;
+        group->warmest = std::max(group->warmest, server.warmth);
         group->freeSlots += std::max(0.0, usable - used);
         group->foreignPrior += std::max(0.0, used - server.inFlight->inFlight());
     }
--- a/src/request/book.h
+++ b/src/request/book.h
@@ -20,13 +20,16 @@
     core::AttemptResult result = core::AttemptResult::Answered;
 };
 
+// Whether the table lets the server have new work.
+bool mayGetWork(const core::ServerEntry&);
+
 // The backend servers of one class in one region that may get work.
 struct ServerGroup {
     core::RegionIndex region;
     std::vector<core::ServerIndex> home;
     std::vector<core::ServerIndex> rest;
-    double slots = 0; // of all of them
-    double freeSlots = 0; // by the reports, weighted by their age
+    double freeSlots = 0; // by the last reports; a sum over servers stays useful longer than one server's report
+    double warmest = 0; // largest warmth
     double foreignPrior = 0; // mean of other entry VMs' requests per server
 };
 
--- a/src/request/outlier.h
+++ b/src/request/outlier.h
@@ -4,6 +4,7 @@
 #include "core/types.h"
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -50,7 +51,7 @@
 class OutlierDetector {
 public:
     struct Options {
-        double suspectRatio = 3; // age of a running attempt, in usual times
+        double suspectRatio = 2.5; // age of a running attempt, in usual times
         double slowRatio = 4; // time of an attempt that counts as slow, in usual times
         std::uint32_t strikes = 2; // slow or failed attempts without a good one in between
         double largestShareOut = 0.4; // of the servers, that may be ejected at the same time
@@ -80,6 +81,9 @@
     Standing standing(std::uint64_t serverKey, core::TimePoint now) const;
     std::size_t ejectedCount(core::TimePoint now) const;
 
+    // When a server was last ejected; nothing if none was.
+    std::optional<core::TimePoint> lastEjection() const { return this->ejectedAt; }
+
     // Usual time of the class's attempts in seconds, 0 if unknown.
     double typicalSeconds(std::uint64_t classKey) const;
 
@@ -105,6 +109,7 @@
     Options options;
     std::unordered_map<std::uint64_t, Server> servers;
     std::unordered_map<std::uint64_t, TypicalTime> typical; // by class
+    std::optional<core::TimePoint> ejectedAt;
 };
 
 }
--- a/src/wire/worker.h
+++ b/src/wire/worker.h
@@ -2,7 +2,9 @@
 
 #include "lookup/issue_key.h"
 #include "request/engine.h"
+#include "request/selected_chooser.h"
 #include "wire/asio.h"
+#include "wire/connection_limit.h"
 #include "wire/exchange.h"
 #include "wire/limits.h"
 #include "wire/pool.h"
@@ -14,7 +16,7 @@
 
 namespace cranberryshed::wire {
 
-using TrafficEngine = request::Engine<request::RoundRobin>;
+using TrafficEngine = request::Engine<request::SelectedChooser>;
 
 // One traffic thread: its io_context, its part of the caller connections, its request engine.
 // Everything but `post`, `setTable` and `executor` is called on that thread only.
@@ -22,10 +24,13 @@
 public:
     struct Options {
         std::uint32_t index = 0; // of the traffic threads of this process
+        std::uint32_t threads = 1; // traffic threads of this process
+        request::ChooserKind chooser = request::ChooserKind::HomeSubset;
         std::uint64_t seed = 0;
         Limits limits;
         TrafficEngine::Options engine;
         request::Shared shared; // the same for all workers of a process
+        std::shared_ptr<ConnectionLimit> connectionLimit; // likewise
         std::function<void(request::Observations)> observe; // called on the worker's thread, in batches
         Pool::Options pool;
     };
@@ -71,13 +76,12 @@
     void begin(const std::shared_ptr<Exchange>& exchange) { this->exchanges.emplace(exchange->id, exchange); }
     void end(core::RequestId request);
     std::size_t inFlight() const { return this->exchanges.size(); }
-    void connectionOpened() { ++this->connectionCount; }
-    void connectionClosed() { --this->connectionCount; }
-    std::size_t openConnections() const { return this->connectionCount; }
+    ConnectionLimit& connectionLimit() { return *this->options.connectionLimit; }
 
 private:
     Task<void> acceptLoop(std::shared_ptr<Acceptor>);
     Task<void> closeIdleLoop();
+    void admit(Socket);
 
     void execute(const request::SendAttempt&);
     void execute(const request::CancelAttempt&);
@@ -101,7 +105,6 @@
     request::Observations observations; // not yet passed to control
     Timer observationTimer;
     std::uint64_t lastRequest = 0;
-    std::size_t connectionCount = 0;
     bool closing = false;
     std::thread thread;
 };
