--- a/src/wire/asio.h
+++ b/src/wire/asio.h
@@ -14,8 +14,8 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 namespace json = boost::json;
-using tcp = asio::ip::tcp;
-using udp = asio::ip::udp;
+using asio::ip::tcp;
+using asio::ip::udp;
 using boost::system::error_code;
 
 // Every thread runs its own io_context, so the executor's type is fixed and costs no indirection.
