Move the part of long work with the use by short work

With short work and archives each at 0.6 of capacity, equal sharing between the classes and a fixed part of 2/3 gave archives half of the slots.

Change: the part falls from 2/3 to 1/3 while the use by short work rises from 45 % to 60 % of this VM's equal part of the slots.

--- a/bench/decisions/headofline.cpp
+++ b/bench/decisions/headofline.cpp
@@ -49,6 +49,7 @@
 {
     measure(report, mixed("schools 25/9 short 0.4 archives 0.2", 25, 9, 0.4, 0.2), seed);
     measure(report, mixed("schools 25/9 short 0.3 archives 0.4", 25, 9, 0.3, 0.4), seed);
+    measure(report, mixed("schools 25/9 short 0.6 archives 0.6", 25, 9, 0.6, 0.6), seed);
     measure(report, mixed("schools 10/9 short 0.4 archives 0.2", 10, 9, 0.4, 0.2), seed);
     measure(report, mixed("foundry 20/8 short 0.4 archives 0.2", 20, 8, 0.4, 0.2), seed);
     measure(report, mixed("foundry 10/8 short 0.4 archives 0.2", 10, 8, 0.4, 0.2), seed);
--- a/src/request/book.cpp
+++ b/src/request/book.cpp
@@ -18,6 +18,7 @@
         return;
     this->seen = &table;
     this->generation = table.generation;
+    this->memberCount = static_cast<double>(std::max<std::ptrdiff_t>(1, std::ranges::count(table.members, core::MemberState::Alive, &core::MemberEntry::state)));
     this->rebuildRecords(table);
     this->classes.assign(table.classes.size(), {});
     for (std::size_t i = 0; i < table.classes.size(); ++i)
@@ -49,7 +50,12 @@
     std::vector<Pool> carriedPools(poolNumbers.size());
     for (const ServerRecord& entry : carried)
         carriedPools[entry.pool].spilled += entry.spilled;
+    for (const auto& [service, number] : poolNumbers)
+        carriedPools[number].key = core::hashBytes(service);
     for (const Pool& pool : this->pools) {
+        const auto same = std::ranges::find(carriedPools, pool.key, &Pool::key);
+        if (same != carriedPools.end())
+            same->demand = pool.demand;
         for (core::ServerIndex old : pool.recent) {
             const auto found = newIndexes.find(this->serverKeys[old.value]);
             if (found != newIndexes.end() && !carried[found->second].home)
@@ -77,6 +83,7 @@
         (server.home ? group->home : group->rest).push_back(index);
         const double usable = warmSlots(server);
         const double used = server.report ? server.report->inFlight : this->options.assumedUse * usable;
+        group->slots += usable;
         group->warmest = std::max(group->warmest, server.warmth);
         group->freeSlots += std::max(0.0, usable - used);
         group->foreignPrior += std::max(0.0, used - server.inFlight->inFlight());
@@ -120,6 +127,7 @@
     if (found == this->indexes.end())
         return;
     ServerRecord& entry = this->records[found->second];
+    this->pools[entry.pool].demand.add(attempt.length, now - attempt.startedAt, now);
     if (entry.spilled > 0) {
         --entry.spilled;
         --this->pools[entry.pool].spilled;
--- a/src/request/book.h
+++ b/src/request/book.h
@@ -28,6 +28,7 @@
     core::RegionIndex region;
     std::vector<core::ServerIndex> home;
     std::vector<core::ServerIndex> rest;
+    double slots = 0; // that may be used at present
     double freeSlots = 0; // by the last reports; a sum over servers stays useful longer than one server's report
     double warmest = 0; // largest warmth
     double foreignPrior = 0; // mean of other entry VMs' requests per server
@@ -76,6 +77,12 @@
     // Servers of the same service outside the home part that gave this thread a good answer, the latest first.
     std::span<const core::ServerIndex> recent(core::ServerIndex index) const { return this->pools[this->records[index.value].pool].recent; }
 
+    // Slots that this thread's short work at the server's service takes on average.
+    double shortSlots(core::ServerIndex index, core::TimePoint now) const { return this->pools[this->records[index.value].pool].demand.slots(core::WorkLength::Short, now); }
+
+    // Entry VMs that serve callers, at least 1.
+    double members() const { return this->memberCount; }
+
     void started(const core::SteeringTable&, core::ClassIndex, core::ServerIndex, core::TimePoint now);
     void ended(const EndedAttempt&, core::TimePoint now);
 
@@ -98,6 +105,8 @@
     };
 
     struct Pool {
+        std::uint64_t key = 0; // hash of the service's name
+        LaneDemand demand;
         std::size_t spilled = 0;
         std::vector<core::ServerIndex> recent; // servers outside the home part, by last good answer, latest first
     };
@@ -111,6 +120,7 @@
     OutlierDetector outliers;
     std::uint64_t generation = 0;
     const core::SteeringTable* seen = nullptr; // only compared
+    double memberCount = 1;
     std::vector<ClassRecord> classes; // by ClassIndex
     std::vector<ServerRecord> records; // by ServerIndex
     std::unordered_map<std::uint64_t, std::uint32_t> indexes; // server key to ServerIndex
--- a/src/request/choose.cpp
+++ b/src/request/choose.cpp
@@ -176,7 +176,7 @@
     if (!best)
         return std::nullopt;
     const core::ServerEntry& server = request.table.at(*best);
-    if (!server.inFlight->tryAcquire(this->lanes.limit(server, request.classEntry.length)))
+    if (!server.inFlight->tryAcquire(this->limit(request, server)))
         return std::nullopt;
     return best;
 }
@@ -199,7 +199,7 @@
         const core::ServerEntry& server = request.table.at(index);
         if (!mayGetWork(server) || server.region != request.group.region || server.inFlight->inFlight() > 0)
             continue;
-        if (this->score(request, index, Standing::Usable) && server.inFlight->tryAcquire(this->lanes.limit(server, request.classEntry.length)))
+        if (this->score(request, index, Standing::Usable) && server.inFlight->tryAcquire(this->limit(request, server)))
             return index;
     }
     return std::nullopt;
@@ -231,7 +231,7 @@
         return std::nullopt;
     this->nextRest = turn;
     const core::ServerEntry& server = request.table.at(*best);
-    if (!server.inFlight->tryAcquire(this->lanes.limit(server, request.classEntry.length)))
+    if (!server.inFlight->tryAcquire(this->limit(request, server)))
         return std::nullopt;
     return best;
 }
@@ -244,11 +244,21 @@
         return false;
     if (request.classEntry.length == core::WorkLength::Long && !group.home.empty())
         return false;
-    const auto members = static_cast<double>(std::max<std::size_t>(1, std::ranges::count(request.table.members, core::MemberState::Alive, &core::MemberEntry::state)));
-    const double allowed = this->options.spillFactor * group.freeSlots / members;
+    const double allowed = this->options.spillFactor * group.freeSlots / this->book.members();
     return static_cast<double>(this->book.spilled(group.rest.front())) < std::max(allowed, static_cast<double>(this->options.leastSpill));
 }
 
+// Slots of the server that the request's class may fill.
+std::uint32_t HomeSubset::limit(const Request& request, const core::ServerEntry& server) const
+{
+    if (request.classEntry.length == core::WorkLength::Short)
+        return warmSlots(server);
+    const ServerGroup& group = request.group;
+    const core::ServerIndex any = group.home.empty() ? group.rest.front() : group.home.front();
+    const double ownSlots = group.slots / this->book.members() / this->options.threads;
+    return LaneLimits::forShortUse(this->book.shortSlots(any, request.now), ownSlots).limit(server, core::WorkLength::Long);
+}
+
 // A server that warms up or is drained accepts a share of its usual traffic, relative to the warmest of its group:
 // if all of them are cold, the probability would only delay work.
 bool HomeSubset::accepts(const Request& request, const core::ServerEntry& server) const
@@ -264,7 +274,7 @@
 {
     const core::ServerEntry& server = request.table.at(index);
     const std::uint32_t own = server.inFlight->inFlight();
-    if (server.inFlight->isReserved() || own >= this->lanes.limit(server, request.classEntry.length) || contains(request.excluded, index))
+    if (server.inFlight->isReserved() || own >= this->limit(request, server) || contains(request.excluded, index))
         return std::nullopt;
     const Standing standing = this->book.standing(server, request.now);
     if (standing > worst || !this->accepts(request, server))
--- a/src/request/choose.h
+++ b/src/request/choose.h
@@ -99,9 +99,6 @@
     std::optional<core::ServerIndex> choose(const core::SteeringTable&, core::ClassIndex, std::span<const core::ServerIndex> excluded, core::RandomEngine&, core::TimePoint now);
     void ended(const EndedAttempt&, core::TimePoint now);
 
-    // The slots that long classes may fill; moves with demand.
-    void setLanes(const LaneLimits& limits) { this->lanes = limits; }
-
     const OutlierDetector& detector() const { return this->book.detector(); }
 
 private:
@@ -120,12 +117,12 @@
     std::optional<core::ServerIndex> chooseRecent(const Request&);
     std::optional<core::ServerIndex> chooseInTurn(const Request&);
     bool maySpill(const Request&) const;
+    std::uint32_t limit(const Request&, const core::ServerEntry&) const;
     bool accepts(const Request&, const core::ServerEntry&) const;
     std::optional<double> score(const Request&, core::ServerIndex, Standing worst) const;
 
     Options options;
     ServerBook book;
-    LaneLimits lanes;
     RegionShares regionShares;
     std::size_t nextRest = 0; // whose turn it is
 };
--- a/src/request/lanes.cpp
+++ b/src/request/lanes.cpp
@@ -9,6 +9,10 @@
 
     constexpr double smallestLongPart = 1.0 / 3;
     constexpr double largestLongPart = 2.0 / 3;
+    // Use by short work, as a share of the slots, up to which long work has its largest part and from which it has
+    // its smallest. Below, short work finds a slot beside long work; a smaller part would only delay long work.
+    constexpr double lowShortUse = 0.45;
+    constexpr double highShortUse = 0.6;
 
 }
 
@@ -23,10 +27,11 @@
     (length == core::WorkLength::Long ? this->longTime : this->shortTime) += std::chrono::duration<double>(serviceTime).count();
 }
 
-double LaneDemand::longShare() const
+double LaneDemand::slots(core::WorkLength length, core::TimePoint now) const
 {
-    const double sum = this->shortTime + this->longTime;
-    return sum > 0 ? this->longTime / sum : 0.5;
+    const double memory = std::chrono::duration<double>(this->decayTime).count();
+    const double age = std::max(0.0, std::chrono::duration<double>(now - this->updatedAt).count());
+    return (length == core::WorkLength::Long ? this->longTime : this->shortTime) * std::exp(-age / memory) / memory;
 }
 
 std::uint32_t LaneLimits::limit(const core::ServerEntry& server, core::WorkLength length) const
@@ -43,9 +48,11 @@
     return std::min(usable, std::clamp(allowed, 1U, largest));
 }
 
-LaneLimits LaneLimits::forDemand(double longShare)
+LaneLimits LaneLimits::forShortUse(double shortSlots, double allSlots)
 {
-    return { .longPart = std::clamp(longShare, smallestLongPart, largestLongPart) };
+    const double use = shortSlots / std::max(allSlots, 1.0);
+    const double reached = std::clamp((use - lowShortUse) / (highShortUse - lowShortUse), 0.0, 1.0);
+    return { .longPart = largestLongPart - reached * (largestLongPart - smallestLongPart) };
 }
 
 std::uint32_t warmSlots(const core::ServerEntry& server)
--- a/src/request/lanes.h
+++ b/src/request/lanes.h
@@ -4,7 +4,7 @@
 
 namespace cranberryshed::request {
 
-// Follows the slot time that short and long classes ask for, decayed over time.
+// Follows the slot time that short and long classes take, decayed over time.
 class LaneDemand {
 public:
     explicit LaneDemand(core::Duration memory = std::chrono::seconds(10))
@@ -12,11 +12,11 @@
     {
     }
 
-    // A request that is expected to hold a slot for this time arrived.
+    // A request held a slot for this time.
     void add(core::WorkLength, core::Duration serviceTime, core::TimePoint now);
 
-    // Share of the slot time that long classes ask for, 0 to 1; 0.5 if nothing is known.
-    double longShare() const;
+    // Mean number of slots that work of this length took lately.
+    double slots(core::WorkLength, core::TimePoint now) const;
 
 private:
     core::Duration decayTime;
@@ -36,8 +36,9 @@
     // With slow start, and at least 1 of 3 for either kind.
     std::uint32_t limit(const core::ServerEntry&, core::WorkLength) const;
 
-    // The part for a share of demand: between 1/3 and 2/3.
-    static LaneLimits forDemand(double longShare);
+    // 2/3 while short work uses less than half of the slots, down to 1/3 when it uses more. Depends on short work alone: a backlogged long class
+    // takes whatever it may, so what it takes says nothing about the part that it should have.
+    static LaneLimits forShortUse(double shortSlots, double allSlots);
 };
 
 // Slots that may be used while the server warms up (slow start) or is drained.
