--- a/src/app/control_loop.cpp
+++ b/src/app/control_loop.cpp
@@ -1,5 +1,6 @@
 #include "app/control_loop.h"
 
+#include "core/hash.h"
 #include "declare/load.h"
 #include "declare/servers.h"
 #include "wire/clock.h"
@@ -127,13 +128,20 @@
 void ControlLoop::readObjects(const fleet::Snapshot& snapshot)
 {
     std::vector<core::Object> declared;
+    std::uint64_t hash = 0;
     for (const std::shared_ptr<const core::Object>& object : snapshot.objects) {
         const std::optional<core::ServerList> list = declare::serversOf(*object, wire::steadyNow());
         if (list && list->version > this->sources.list.version)
             this->sources.list = *list;
-        else if (!list)
-            declared.push_back(*object);
+        if (list)
+            continue;
+        hash = core::hashCombine(hash, core::hashBytes(object->kind + '/' + object->name));
+        hash = core::hashCombine(hash, core::hashCombine(object->version.revision, object->version.version));
+        declared.push_back(*object);
     }
+    // Unchanged declarations keep their pointer, which tells the pipeline that nothing has to be rebuilt.
+    if (hash == std::exchange(this->declaredHash, hash))
+        return;
     std::vector<declare::Problem> problems;
     auto declarations = std::make_shared<const core::Declarations>(declare::load(declared, &problems));
     for (const declare::Problem& problem : problems)
--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -76,6 +76,7 @@
     std::set<std::string> sharedLeaving; // servers whose leaving this VM has told the others
     control::Published published;
     fleet::Changes seen;
+    std::uint64_t declaredHash = 0; // of the declared objects' names and versions
     bool objectsRead = false;
     bool runScheduled = false;
     bool stopped = false;
--- a/src/core/declarations.h
+++ b/src/core/declarations.h
@@ -56,7 +56,7 @@
     std::string service;
     WallTime contractEnd {};
     std::string replacement; // the batch that takes over; empty: all others of the service
-    WallTime declaredAt {}; // when the contract end was declared, written by `apply`; 0: unknown, long ago
+    WallTime declaredAt {}; // when the contract end was declared, as stated with it; 0: unknown, long ago
     Duration warmUp {}; // time until a new server of the batch takes its full share; 0: the default
 };
 
--- a/src/core/table.h
+++ b/src/core/table.h
@@ -35,8 +35,8 @@
     double headroom = 0; // share of capacity that is kept free, 0 to 1
     std::vector<ServerIndex> servers; // of the service, in the allowed regions
     std::vector<double> regionShares; // by RegionIndex: share of this VM's traffic, sums to 1
-    // By RegionIndex: a request may start in another region while this VM has fewer requests than this in flight
-    // at the service's servers there. The own region has no limit (infinity). What exceeds the limits waits for the
+    // By RegionIndex: a request may start in another region if this VM then has at most so many requests in flight
+    // at the service's servers there, so that the sum over all entry VMs keeps the region's limit. The own region has no limit (infinity). What exceeds the limits waits for the
     // own region or is rejected.
     std::vector<double> regionLimits;
 };
--- a/src/declare/load.cpp
+++ b/src/declare/load.cpp
@@ -79,6 +79,21 @@
         };
     }
 
+    core::BatchDeclaration readBatch(const std::string& name, const json::object& content)
+    {
+        core::BatchDeclaration batch {
+            .name = name,
+            .service = text(content, "service"),
+            .contractEnd = *parseTime(text(content, "contractEnd")),
+            .replacement = text(content, "replacement"),
+        };
+        if (content.contains("declaredAt"))
+            batch.declaredAt = *parseTime(text(content, "declaredAt"));
+        if (content.contains("warmUpMs"))
+            batch.warmUp = milliseconds(content, "warmUpMs");
+        return batch;
+    }
+
     void readBlocks(const json::object& content, std::vector<core::BlockDeclaration>& blocks)
     {
         std::string site = text(content, "site");
@@ -104,7 +119,7 @@
             declarations.targets.push_back(readTarget(content));
             break;
         case Kind::Batch:
-            declarations.batches.push_back({ .name = name, .service = text(content, "service"), .contractEnd = *parseTime(text(content, "contractEnd")), .replacement = text(content, "replacement") });
+            declarations.batches.push_back(readBatch(name, content));
             break;
         case Kind::Site:
             declarations.sites.push_back({ .name = name, .nearestDomains = texts(content, "nearestDomains") });
--- a/src/declare/print.cpp
+++ b/src/declare/print.cpp
@@ -73,6 +73,10 @@
         json::object content { { "service", batch.service }, { "contractEnd", formatTime(batch.contractEnd) } };
         if (!batch.replacement.empty())
             content["replacement"] = batch.replacement;
+        if (batch.declaredAt != core::WallTime {})
+            content["declaredAt"] = formatTime(batch.declaredAt);
+        if (batch.warmUp > core::Duration::zero())
+            content["warmUpMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(batch.warmUp).count();
         return content;
     }
 
--- a/src/declare/schema.cpp
+++ b/src/declare/schema.cpp
@@ -51,6 +51,8 @@
         Key { "service", Shape::Name, true },
         Key { "contractEnd", Shape::Time, true },
         Key { "replacement", Shape::Name },
+        Key { "declaredAt", Shape::Time },
+        Key { "warmUpMs", Shape::Number, false, 0, dayMs },
     };
     constexpr std::array siteKeys = { Key { "nearestDomains", Shape::NameList, true, 1 } };
     constexpr std::array blocksKeys = {
