--- a/tests/rig/callers.h
+++ b/tests/rig/callers.h
@@ -35,9 +35,9 @@
 class Callers {
 public:
     Callers(World<EngineType>& theWorld, CallerOptions callerOptions)
-        : world(theWorld)
+        : jobs(callerOptions.jobs)
+        , world(theWorld)
         , options(callerOptions)
-        , jobs(callerOptions.jobs)
     {
         for (std::size_t i = 0; i < this->jobs.size(); ++i) {
             Job& job = this->jobs[i];
--- a/tests/rig/world.h
+++ b/tests/rig/world.h
@@ -129,7 +129,7 @@
         arrival.request = id;
         this->arrivals[id] = { .vm = vm, .start = this->vms[vm].start, .job = job, .relayed = {}, .at = this->scheduler.now() };
         this->reports[id] = std::move(report);
-        this->work[id] = { poison, work };
+        this->workOf[id] = { poison, work };
         this->deliver(vm, this->vms[vm].start, request::Event(std::move(arrival)));
         return id;
     }
@@ -201,8 +201,8 @@
     {
         ++this->counts.attempts;
         auto sent = std::make_shared<Sent>(Sent { .request = command.request, .vm = vm, .start = start, .server = command.server.value, .workId = ++this->lastWork });
-        this->sent[{ vm, start, command.attempt }] = sent;
-        const auto [poison, time] = this->work[command.request];
+        this->sentAttempts[{ vm, start, command.attempt }] = sent;
+        const auto [poison, time] = this->workOf[command.request];
         Work item { .id = sent->workId, .time = time, .poison = poison, .onRun = [this, request = command.request] { ++this->arrivals[request].runs; }, .onEnd = {} };
         item.onEnd = [this, sent, attempt = command.attempt](core::AttemptResult result) { this->onServerEnd(sent, attempt, result); };
         this->scheduler.after(this->options.oneWay + this->upTo(this->options.faults.jitter), [this, sent, item] {
@@ -259,7 +259,7 @@
 
     void execute(std::size_t vm, unsigned start, const request::CancelAttempt& command)
     {
-        const SentPointer sent = this->sent.at({ vm, start, command.attempt });
+        const SentPointer sent = this->sentAttempts.at({ vm, start, command.attempt });
         this->scheduler.after(this->options.oneWay, [this, sent] { this->servers[sent->server]->cancel(sent->workId); });
         if (!this->chance(this->options.faults.lost))
             this->endAttempt(sent, command.attempt, core::AttemptResult::Cancelled, 0);
@@ -269,7 +269,7 @@
     void execute(std::size_t vm, unsigned start, const request::RelayAnswer& command)
     {
         Arrival& arrival = this->arrivals[command.request];
-        if (this->sent.at({ vm, start, command.attempt })->request != command.request)
+        if (this->sentAttempts.at({ vm, start, command.attempt })->request != command.request)
             ++this->counts.foreignAnswers;
         if (arrival.relayed || arrival.ends > 0)
             ++this->counts.doubleEnds;
@@ -328,9 +328,9 @@
     }
 
     MakeEngine makeEngine;
-    std::map<std::tuple<std::size_t, unsigned, core::AttemptId>, SentPointer> sent;
+    std::map<std::tuple<std::size_t, unsigned, core::AttemptId>, SentPointer> sentAttempts;
     std::map<core::RequestId, Report> reports;
-    std::map<core::RequestId, std::pair<bool, core::Duration>> work;
+    std::map<core::RequestId, std::pair<bool, core::Duration>> workOf;
     std::set<std::size_t> suspected;
     std::set<std::size_t> ejected;
     std::uint64_t lastRequest = 0;
