Test a change that all watchers take from the store

Cause: only changes known to one member were tested. Change: a test publishes at the six watchers of 30 members at once and bounds the pushes that follow. Conclusion: watchers that publish the same version start no storm, and all 30 members know it within 2 s.

--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -16,8 +16,8 @@
     std::vector<std::string> seeds;
 };
 
-// A state that members are known in until another is heard, as SWIM (Das, Gupta, Motivala 2002) with
-// a suspicion time, incarnations split into start and refutation, and anti-entropy over buckets.
+// The states of all members as this one knows them: SWIM (Das, Gupta, Motivala 2002) with a time to refute a
+// suspicion, a refutation number apart from the incarnation, and anti-entropy over buckets.
 class Membership {
 public:
     Membership(MembershipOptions, core::TimePoint now);
--- a/tests/io/peer.cpp
+++ b/tests/io/peer.cpp
@@ -65,6 +65,7 @@
     };
     static_assert(std::variant_size_v<fleet::Body> == 20);
     std::vector<fleet::Message> messages;
+    messages.reserve(bodies.size());
     for (const fleet::Body& body : bodies)
         messages.push_back({ .fleet = 1, .sender = fleet::MemberId { 2 }, .senderAddress = "127.0.0.1:9", .facts = facts, .records = { record("c") }, .body = body });
     return messages;
--- a/tests/pure/objects.cpp
+++ b/tests/pure/objects.cpp
@@ -60,6 +60,29 @@
     }
 }
 
+// Guards against a change that all watchers see at the same time and that then takes long, or starts a storm.
+TEST_CASE("a change that the watchers take from the store reaches 30 members within 2 s", "[fleet]")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        Shuffler shuffler({ .seed = seed, .loss = 0.05 });
+        shuffler.startFleet(30);
+        shuffler.run(10s);
+        std::vector<int> watching;
+        for (int member : shuffler.running()) {
+            if (shuffler.snapshot(member).watcher)
+                watching.push_back(member);
+        }
+        CHECK(watching.size() == 6); // two in each of three failure domains
+        std::size_t pushes = 0;
+        shuffler.onSend = [&](int, const fleet::Outgoing& out) { pushes += std::holds_alternative<fleet::ObjectPush>(out.message.body); };
+        for (int member : watching)
+            publish(shuffler, member, object("from-store", 4));
+        CHECK(shuffler.runUntil(everyoneHas(shuffler, "from-store", 4), 2s));
+        shuffler.run(10s);
+        CHECK(pushes <= 30 * 12);
+    }
+}
+
 // Guards against an old version that wins because it arrives later, from a restored store or a slow message.
 TEST_CASE("an old version never replaces a newer one", "[fleet]")
 {
