Move the spreading of facts into a file of its own

Change: membership_rumors.cpp; no change of behaviour. Measured: tests_pure (125 cases) and tests_io '[peer]' pass.

--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -16,8 +16,6 @@
     // more round each way.
     constexpr core::Duration suspicionBase = 3s;
     constexpr core::Duration suspicionPerDoubling = 300ms;
-    constexpr core::Duration roundTime = 200ms;
-    constexpr std::size_t peersPerRound = 3;
     constexpr core::Duration deadMemory = 1h;
     // Regions that lost each other find each other again this soon, with one datagram per member and period.
     constexpr core::Duration revisitPeriod = 10s;
@@ -30,10 +28,6 @@
     constexpr std::size_t joinTargets = 3;
     constexpr core::Duration refreshLimit = 5s;
     constexpr core::Duration askAgain = 1s;
-    // Piggybacked facts take at most 400 bytes of a datagram, records at most 400. A failure domain of 35
-    // members that fails at once needs many facts; with none to tell they take no bytes.
-    constexpr std::size_t factsPerMessage = 16;
-    constexpr std::size_t recordsPerMessage = 3;
     constexpr std::size_t announceTargets = 4;
 
     // Orders statements of one incarnation and refutation: what others say outdoes what the member said.
@@ -281,56 +275,6 @@
         this->prober.ping(peer->peerAddress, { own.record.fact }, outbox);
 }
 
-void Membership::spread(MemberId id, bool withRecord, core::TimePoint now)
-{
-    this->rumors[id] = { .sends = 0, .withRecord = withRecord };
-    this->nextRound = std::min(this->nextRound, std::max(now, this->lastRound + roundTime));
-}
-
-// Sends rumors to a few random members at once and in short rounds, besides what probes carry: the time to
-// refute runs for a suspect, and callers are sent to members that are dead or leaving.
-void Membership::tell(core::TimePoint now, core::RandomEngine& random, Outbox& outbox)
-{
-    this->lastRound = now;
-    for (const MemberRecord* peer : this->randomPeers(peersPerRound, random)) {
-        if (this->rumors.empty())
-            break;
-        outbox.push_back(outgoing(peer->peerAddress, Records {}));
-        this->piggyback(outbox.back().message);
-    }
-    this->nextRound = this->rumors.empty() || this->live.empty() ? core::TimePoint::max() : now + roundTime;
-}
-
-// Another member knows the rumor as well, so it needs to be sent less often.
-void Membership::hearAgain(MemberId id)
-{
-    auto rumor = this->rumors.find(id);
-    if (rumor != this->rumors.end() && ++rumor->second.sends >= this->sendLimit())
-        this->rumors.erase(rumor);
-}
-
-void Membership::piggyback(Message& message)
-{
-    std::vector<std::pair<int, MemberId>> order;
-    order.reserve(this->rumors.size());
-    for (const auto& [id, rumor] : this->rumors)
-        order.emplace_back(rumor.sends, id);
-    const std::size_t count = std::min(factsPerMessage, order.size());
-    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count), order.end());
-    const int limit = this->sendLimit();
-    for (std::size_t i = 0; i < count; ++i) {
-        const MemberId id = order[i].second;
-        Rumor& rumor = this->rumors.at(id);
-        const MemberRecord& record = this->members.at(id).record;
-        if (rumor.withRecord && message.records.size() < recordsPerMessage)
-            message.records.push_back(record);
-        else
-            message.facts.push_back(record.fact);
-        if (++rumor.sends >= limit)
-            this->rumors.erase(id);
-    }
-}
-
 void Membership::enter(const MemberFact& fact)
 {
     this->hashes.toggle(static_cast<std::uint64_t>(fact.id), hashOf(fact));
