Keep the headroom of targets by the load of the whole service

Cause: the admit filter was not in the arrival chain; by the servers' reports alone it would have refused at an entry VM that polls only its home servers. Change: CheckCapacity in the chain; classes carry their service's use from the load digests; rejected requests count as demand. Conclusion: an entry VM with more callers than others is not refused while the service has room.

--- a/src/control/publish.cpp
+++ b/src/control/publish.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+    // Load figures that are trusted less, because of their age, do not decide about admission.
+    constexpr double leastTrust = 0.3;
+
     template <typename Entry>
     std::optional<std::uint32_t> indexOf(const std::vector<Entry>& entries, const std::string& name)
     {
@@ -68,6 +71,23 @@
     this->slotCounts = std::move(kept);
 }
 
+// The share of a service's slots that the callers of all regions need. Unknown if the figures are too old.
+std::optional<double> Publish::serviceUse(const Context& context, const std::string& service)
+{
+    const auto found = context.services.find(service);
+    if (found == context.services.end())
+        return std::nullopt;
+    double slots = 0;
+    double need = 0;
+    for (const ServiceLoad& load : found->second) {
+        if (load.need > 0 && load.trust < leastTrust)
+            return std::nullopt;
+        slots += load.slots;
+        need += load.need;
+    }
+    return slots > 0 ? std::optional(need / slots) : std::nullopt;
+}
+
 void Publish::addClasses(core::SteeringTable& table, const Context& context) const
 {
     const core::Declarations& declarations = context.declarations();
@@ -75,7 +95,7 @@
         const core::ClassDeclaration& declaration = declarations.classes[i];
         const auto found = std::ranges::find(declarations.targets, declaration.name, &core::TargetDeclaration::className);
         const core::TargetDeclaration* target = found == declarations.targets.end() ? nullptr : &*found;
-        core::ClassEntry entry { .name = declaration.name, .host = declaration.host, .methods = declaration.methods, .pathPrefix = declaration.pathPrefix, .service = declaration.service, .repeat = declaration.repeat, .length = declaration.length, .deadline = declaration.deadline, .targetLatency = target ? target->latency : core::Duration {}, .headroom = target ? target->headroom : 0, .servers = {}, .regionShares = context.regionShares[i], .regionLimits = context.regionLimits[i] };
+        core::ClassEntry entry { .name = declaration.name, .host = declaration.host, .methods = declaration.methods, .pathPrefix = declaration.pathPrefix, .service = declaration.service, .repeat = declaration.repeat, .length = declaration.length, .deadline = declaration.deadline, .targetLatency = target ? target->latency : core::Duration {}, .headroom = target ? target->headroom : 0, .servers = {}, .regionShares = context.regionShares[i], .regionLimits = context.regionLimits[i], .serviceUse = serviceUse(context, declaration.service) };
         for (std::uint32_t server = 0; server < table.servers.size(); ++server) {
             const core::ServerEntry& candidate = table.servers[server];
             if (candidate.service == declaration.service && context.admitted[i][candidate.region.value] > 0)
--- a/src/core/table.h
+++ b/src/core/table.h
@@ -39,6 +39,8 @@
     // at the service's servers there, so that the sum over all entry VMs keeps the region's limit. The own region has no limit (infinity). What exceeds the limits waits for the
     // own region or is rejected.
     std::vector<double> regionLimits;
+    // Share of the service's slots that all entry VMs need, by their latest load digests; none: unknown or too old.
+    std::optional<double> serviceUse;
 };
 
 // The last load report of a backend server. It may be old or wrong.
--- /dev/null
+++ b/src/request/check_capacity.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "request/admit.h"
+#include "request/state.h"
+
+namespace cranberryshed::request {
+
+// Filter: Admit, with the rejected requests counted as demand. A plan that saw only admitted work would never
+// move traffic away from a full region.
+struct CheckCapacity {
+    State& state;
+
+    Step operator()(Context context, core::TimePoint now) const
+    {
+        ClassMemory& memory = this->state.memoryOf(context.classEntry());
+        Step step = Admit { .headroom = this->state.headroom, .times = this->state.serviceTimes }(std::move(context), now);
+        if (step.ended()) {
+            ++memory.demand.arrived;
+            ++memory.demand.rejected;
+        }
+        return step;
+    }
+};
+
+}
--- a/src/request/headroom.cpp
+++ b/src/request/headroom.cpp
@@ -43,7 +43,7 @@
     this->members = std::max<std::size_t>(1, std::ranges::count(table.members, core::MemberState::Alive, &core::MemberEntry::state));
     this->capacities.clear();
     for (const core::ClassEntry& entry : table.classes) {
-        Capacity capacity { .pool = core::hashBytes(entry.service) };
+        Capacity capacity { .pool = core::hashBytes(entry.service), .use = entry.serviceUse };
         for (core::ServerIndex index : entry.servers) {
             const core::ServerEntry& server = table.at(index);
             if (server.state != core::ServerState::Active && server.state != core::ServerState::Warming)
@@ -64,6 +64,8 @@
     const double part = capacity.slots / static_cast<double>(memberCount) / this->options.threads;
     if (used.work / seconds(this->options.memory) < allowed * part)
         return false;
+    if (capacity.use)
+        return *capacity.use >= allowed;
     const bool known = capacity.reportedSlots * 2 >= capacity.slots;
     return !known || capacity.reported >= allowed * capacity.reportedSlots;
 }
--- a/src/request/headroom.h
+++ b/src/request/headroom.h
@@ -13,8 +13,9 @@
 // Keeps the share of capacity free that a class's target states.
 //
 // Work is refused only if this thread's admitted work exceeds its equal part of the allowed use and the servers'
-// reports show that the service as a whole exceeds it, so an entry VM with more callers than others may use
-// what they leave. Without fresh reports its own part decides. Counts all classes of a service.
+// service as a whole exceeds it, so an entry VM with more callers than others may use what they leave. That is
+// known from the load digests of all entry VMs, or else from the servers' reports; without either, its own part
+// decides. Counts all classes of a service.
 class Headroom {
 public:
     struct Options {
@@ -45,6 +46,7 @@
         double slots = 0; // that may be used at present
         double reported = 0; // requests, by fresh reports
         double reportedSlots = 0; // of the servers with fresh reports
+        std::optional<double> use; // share of the slots in use, by load digests
     };
 
     struct Usage {
--- a/src/request/pipeline.h
+++ b/src/request/pipeline.h
@@ -4,6 +4,7 @@
 #include "request/abandon.h"
 #include "request/answer.h"
 #include "request/attempt_end.h"
+#include "request/check_capacity.h"
 #include "request/check_quarantine.h"
 #include "request/check_shutdown.h"
 #include "request/choose_server.h"
@@ -24,7 +25,7 @@
 // The chains of the request engine, one for each kind of event. Engine runs them and nothing else.
 
 // RequestArrived: from Context to Launch.
-using ArrivalPipe = core::Pipe<Classify, CheckShutdown, CheckQuarantine, ClaimKey, Enrol>;
+using ArrivalPipe = core::Pipe<Classify, CheckShutdown, CheckQuarantine, CheckCapacity, ClaimKey, Enrol>;
 
 // From Launch to an attempt that is sent, or a request that waits.
 template <Chooser ChooserType>
--- a/src/request/state.cpp
+++ b/src/request/state.cpp
@@ -30,6 +30,7 @@
     , random(seed)
     , queue(engineOptions.queue)
     , servers(engineOptions.servers)
+    , headroom(engineOptions.headroom)
 {
     if (!this->shared.keys || !this->shared.crashes)
         throw core::Error(core::ErrorKind::BadSettings, "the request engine needs the key ledger and the crash book of its process");
--- a/src/request/state.h
+++ b/src/request/state.h
@@ -2,6 +2,7 @@
 
 #include "request/context.h"
 #include "request/crash.h"
+#include "request/headroom.h"
 #include "request/hedge.h"
 #include "request/keys.h"
 #include "request/queue.h"
@@ -21,6 +22,7 @@
     RetryOptions retry {};
     HedgeOptions hedge {};
     ServerMemory::Options servers {};
+    Headroom::Options headroom {};
     // How long after the table says leaving new requests on open connections are still served. Callers may use
     // a look-up answer for 5 s, and a table reaches a traffic thread within a fraction of a second.
     core::Duration shutdownLimit = std::chrono::seconds(8);
@@ -153,6 +155,7 @@
     std::size_t isolations = 0; // servers that this thread has reserved
     ServerMemory servers;
     ServiceTimes serviceTimes; // that attempts hold a slot, by class
+    Headroom headroom;
     std::uint64_t lastAttempt = 0;
     core::TimePoint sweptAt {};
 
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -17,10 +17,16 @@
 
     using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+    Worker::Options withThreads(Worker::Options options)
+    {
+        options.engine.headroom.threads = options.threads;
+        return options;
+    }
+
 }
 
 Worker::Worker(Options workerOptions)
-    : options(std::move(workerOptions))
+    : options(withThreads(std::move(workerOptions)))
     , work(asio::make_work_guard(*this->context))
     , currentTable(std::make_shared<core::SteeringTable>())
     , engine(this->options.engine, request::SelectedChooser(this->options.chooser, this->options.threads), this->options.shared, this->options.seed)
--- /dev/null
+++ b/tests/pure/capacity_filter.cpp
@@ -0,0 +1,51 @@
+#include "request/check_capacity.h"
+
+#include <catch2/catch.hpp>
+
+namespace core = cranberryshed::core;
+namespace request = cranberryshed::request;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::shared_ptr<core::SteeringTable> makeTable(std::optional<double> serviceUse)
+{
+    auto table = std::make_shared<core::SteeringTable>();
+    table->generation = 1;
+    table->members = { { .name = "entry-1" }, { .name = "entry-2" } };
+    table->servers = { { .name = "ledger-1", .service = "ledger", .slots = 4, .inFlight = std::make_shared<core::SlotCount>() } };
+    table->classes = { { .name = "stock-lookup", .service = "ledger", .deadline = 2s, .headroom = 0.5, .servers = { { 0 } }, .regionShares = { 1 }, .serviceUse = serviceUse } };
+    return table;
+}
+
+// Requests admitted of 400 that arrive within a second and hold a slot for 10 ms: the need of 4 slots at one
+// of two entry VMs.
+int admittedOf(std::optional<double> serviceUse)
+{
+    const auto table = makeTable(serviceUse);
+    request::State state({}, request::makeShared("entry-1", core::Incarnation { 1 }, 1), 1);
+    state.setTable(table);
+    core::TimePoint now { 1h };
+    state.serviceTimes.add(state.memoryOf(table->classes[0]).key, 10ms);
+    request::CheckCapacity filter { state };
+    int admitted = 0;
+    for (int i = 0; i < 400; ++i) {
+        now += 2500us;
+        request::Context context { .arrival = { .request = core::RequestId { static_cast<std::uint64_t>(i) } }, .table = table, .deadline = now + 2s };
+        admitted += filter(std::move(context), now).ended() ? 0 : 1;
+    }
+    const request::DemandObserved& demand = state.memoryOf(table->classes[0]).demand;
+    CHECK(demand.rejected == static_cast<std::uint32_t>(400 - admitted));
+    return admitted;
+}
+
+}
+
+// Guards against an entry VM that refuses work while the fleet has room, because its own callers are more than
+// its equal part, and against one that eats the headroom once the service as a whole is at its limit.
+TEST_CASE("headroom is judged by the use of the whole service", "[request]")
+{
+    CHECK(admittedOf(0.3) == 400);
+    CHECK(admittedOf(0.6) < 300);
+    CHECK(admittedOf(std::nullopt) < 300);
+}
