Clear the lint findings and extend the golden refusal session

Cause: clang-tidy findings in tests and app; the golden refusal ended before the engine's answer. Change: reserve, names, includes; the session goes on to the last answer.

--- a/src/app/dump_command.cpp
+++ b/src/app/dump_command.cpp
@@ -21,7 +21,6 @@
         wire::asio::io_context context;
         wire::beast::tcp_stream stream(context);
         std::string result;
-        wire::error_code failure;
         wire::asio::co_spawn(
             context, [&]() -> wire::asio::awaitable<void> {
             stream.expires_after(timeout);
--- a/src/app/health.cpp
+++ b/src/app/health.cpp
@@ -57,9 +57,9 @@
     }
 
     // Sends one request. Returns nothing if the server did not answer in time.
-    Task<std::optional<control::HealthReport>> ask(const Options& options)
+    Task<std::optional<control::HealthReport>> ask(const Options& asked)
     {
-        this->stream.expires_after(options.timeout);
+        this->stream.expires_after(asked.timeout);
         if (!this->connected) {
             this->stream.close();
             this->buffer.clear();
@@ -68,7 +68,7 @@
                 co_return std::nullopt;
             this->connected = true;
         }
-        http::request<http::empty_body> request(http::verb::get, options.path, 11);
+        http::request<http::empty_body> request(http::verb::get, asked.path, 11);
         request.set(http::field::host, this->address);
         http::response_parser<http::string_body> parser;
         parser.body_limit(answerLimit);
--- a/src/control/demand.cpp
+++ b/src/control/demand.cpp
@@ -63,6 +63,7 @@
 std::vector<OwnDemand> DemandMeter::demand(core::TimePoint now) const
 {
     std::vector<OwnDemand> result;
+    result.reserve(this->meters.size());
     for (const auto& [name, meter] : this->meters)
         result.push_back({ .className = name, .rate = meter.arrived.value(now), .meanTime = fromSeconds(meter.heldSeconds) });
     return result;
--- a/tests/io/process.h
+++ b/tests/io/process.h
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <ctime>
 #include <fstream>
 #include <optional>
 #include <poll.h>
--- a/tests/io/vm_fixture.h
+++ b/tests/io/vm_fixture.h
@@ -188,6 +188,7 @@
     void listServers()
     {
         std::vector<core::ServerListing> rows;
+        rows.reserve(this->servers.size());
         for (const auto& server : this->servers)
             rows.push_back({ .name = server->name(), .address = server->address(), .service = "shop", .batch = "first", .domain = "north-1" });
         this->store.setServers(std::move(rows));
--- a/tests/pure/session.cpp
+++ b/tests/pure/session.cpp
@@ -141,6 +141,12 @@
         this->handle(request::CapacityChanged {});
     }
 
+    void due(core::RequestId id)
+    {
+        this->transcript.in(this->now, "the time of " + idText(id) + " has come");
+        this->handle(request::TimerDue { .request = id });
+    }
+
     void pass(core::Duration time) { this->now += time; }
 
     Transcript transcript;
@@ -212,13 +218,17 @@
     session.lookUp("no-such-class");
     session.arrive("GET", "/nowhere");
     const std::string key = session.lookUp("casting-order");
-    session.arrive("POST", "/orders/7", key);
+    const core::RequestId refused = session.arrive("POST", "/orders/7", key);
     session.pass(2ms);
     session.end(core::AttemptResult::Refused, 503);
-    session.pass(2ms);
-    session.arrive("POST", "/orders/10", session.lookUp("casting-order"));
+    session.pass(10ms);
+    session.due(refused);
+    session.answer(20ms, 1ms);
+    const core::RequestId broken = session.arrive("POST", "/orders/10", session.lookUp("casting-order"));
     session.pass(5ms);
     session.end(core::AttemptResult::Broken, 0);
+    session.pass(1s);
+    session.due(broken);
     compareWithGolden(session, "refusal.txt");
 }
 
