Wake requests on other traffic threads when a slot is free

Cause: slots are counted for the process, but a freed slot only woke the thread that freed it; a request on another thread waited until an attempt of its own thread ended or its deadline passed. Change: wire/siblings passes the news to the next thread with waiting requests. Conclusion: no waiting loop; one message per freed slot that is not needed here.

--- a/src/app/entry_vm.cpp
+++ b/src/app/entry_vm.cpp
@@ -48,11 +48,12 @@
     const core::Incarnation incarnation = newIncarnation();
     const request::Shared shared = request::makeShared(this->options.name, incarnation, std::random_device {}());
     const auto connectionLimit = std::make_shared<wire::ConnectionLimit>(this->options.limits.connectionsPerCaller);
+    const auto siblings = std::make_shared<wire::Siblings>(this->options.trafficThreads);
     const auto observe = [this](request::Observations observations) {
         asio::post(*this->context, [this, observations = std::move(observations)]() mutable { this->control->observe(std::move(observations)); });
     };
     for (std::uint32_t i = 0; i < this->options.trafficThreads; ++i) {
-        this->workers.push_back(std::make_unique<wire::Worker>(wire::Worker::Options { .index = i, .threads = this->options.trafficThreads, .chooser = this->options.chooser, .seed = this->options.seed + i, .limits = this->options.limits, .shared = shared, .connectionLimit = connectionLimit, .observe = observe }));
+        this->workers.push_back(std::make_unique<wire::Worker>(wire::Worker::Options { .index = i, .threads = this->options.trafficThreads, .chooser = this->options.chooser, .seed = this->options.seed + i, .limits = this->options.limits, .shared = shared, .connectionLimit = connectionLimit, .siblings = siblings, .observe = observe }));
         this->callerEndpoint = this->workers.back()->listen(this->callerEndpoint);
     }
     this->admin = std::make_unique<wire::AdminServer>(*this->context, wire::parseEndpoint(this->options.adminAddress));
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -35,6 +35,7 @@
     , observationTimer(this->executor())
 {
     this->engine.setTable(this->currentTable);
+    this->options.siblings->setWake(this->options.index, [this] { this->post([this] { this->handle(request::CapacityChanged {}); }); });
 }
 
 Worker::~Worker()
@@ -103,6 +104,15 @@
     for (const request::Command& command : commands)
         std::visit([this](const auto& typed) { this->execute(typed); }, command);
     this->passObservations();
+    this->shareFreedSlot(event);
+}
+
+void Worker::shareFreedSlot(const request::Event& event)
+{
+    const std::size_t waiting = this->engine.waiting();
+    this->options.siblings->setWaiting(this->options.index, waiting);
+    if (waiting == 0 && std::holds_alternative<request::AttemptEnded>(event))
+        this->options.siblings->slotFreed(this->options.index);
 }
 
 // Control gets observations in batches, because a message to another thread for each request costs more than
--- a/src/wire/worker.h
+++ b/src/wire/worker.h
@@ -8,6 +8,7 @@
 #include "wire/exchange.h"
 #include "wire/limits.h"
 #include "wire/pool.h"
+#include "wire/siblings.h"
 #include "wire/traffic_metrics.h"
 
 #include <functional>
@@ -31,6 +32,7 @@
         TrafficEngine::Options engine;
         request::Shared shared; // the same for all workers of a process
         std::shared_ptr<ConnectionLimit> connectionLimit; // likewise
+        std::shared_ptr<Siblings> siblings; // likewise
         std::function<void(request::Observations)> observe; // called on the worker's thread, in batches
         Pool::Options pool;
     };
@@ -90,6 +92,7 @@
     void execute(const request::WaitUntil&);
     std::shared_ptr<Attempt> findAttempt(core::RequestId, core::AttemptId);
     void passObservations();
+    void shareFreedSlot(const request::Event&);
 
     Options options;
     std::unique_ptr<asio::io_context> context = std::make_unique<asio::io_context>(1);
--- a/tests/io/path.cpp
+++ b/tests/io/path.cpp
@@ -220,6 +220,25 @@
     CHECK(status == 404);
 }
 
+// Guards against a request that waits on one traffic thread for a slot that another thread frees.
+TEST_CASE("a freed slot wakes requests on every traffic thread", "[path]")
+{
+    VmFixture fixture(1);
+    app::EntryVmOptions options = fixture.vmOptions("vm-1");
+    options.trafficThreads = 4;
+    const std::string address = fixture.startVm(options).callerAddress();
+    VmFixture::waitForLookup(address);
+    std::vector<std::unique_ptr<RawClient>> clients;
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < 24; ++i) {
+        clients.push_back(std::make_unique<RawClient>(address));
+        clients.back()->send(get("/stock/" + std::to_string(i), "X-Work-Id: s\r\nX-Work-Us: 50000\r\n"));
+    }
+    for (const auto& client : clients)
+        CHECK(client->receive().status() == 200);
+    CHECK(std::chrono::steady_clock::now() - begin < 2s);
+}
+
 // Guards against a request that crashes one backend server after another when its caller sends it again.
 TEST_CASE("a request that crashes servers is quarantined on every entry VM", "[path]")
 {
