--- a/tests/io/serve.cpp
+++ b/tests/io/serve.cpp
@@ -63,15 +63,6 @@
     Process process;
 };
 
-template <typename Condition>
-std::chrono::milliseconds timeUntil(Condition condition, std::chrono::milliseconds limit)
-{
-    const auto start = std::chrono::steady_clock::now();
-    while (!condition() && std::chrono::steady_clock::now() - start < limit)
-        std::this_thread::sleep_for(20ms);
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start);
-}
-
 }
 
 // Guards against settings that are half understood, or refused one fault at a time.
--- a/tests/io/vm_fixture.h
+++ b/tests/io/vm_fixture.h
@@ -112,6 +112,16 @@
     return "POST " + target + " HTTP/1.1\r\nHost: test\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + fields + "\r\n" + body;
 }
 
+// Waits until the condition holds, at most for `limit`. Returns how long that took.
+template <typename Condition>
+std::chrono::milliseconds timeUntil(Condition condition, std::chrono::milliseconds limit)
+{
+    const auto start = std::chrono::steady_clock::now();
+    while (!condition() && std::chrono::steady_clock::now() - start < limit)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - start);
+}
+
 // A platform stand-in, backend servers and entry VMs in this process, with two declared classes:
 // `stock` (GET /stock/, idempotent), `order` (POST /orders/, not idempotent) and `archive` (GET /archives/, long).
 class VmFixture {
