--- a/src/app/dev.cpp
+++ b/src/app/dev.cpp
@@ -3,6 +3,11 @@
 #include "core/errors.h"
 #include "declare/files.h"
 
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <random>
+
 namespace cranberryshed::app {
 
 namespace asio = wire::asio;
@@ -36,6 +41,7 @@
         vm.storeAddress = this->store->endpoint();
         vm.trafficThreads = this->options.trafficThreads;
         vm.seed = this->options.seed * 100 + i;
+        vm.chooser = this->options.chooser;
         vm.acceptWhileLeaving = std::chrono::seconds(1);
         if (!this->vms.empty())
             vm.seeds = { this->vms.front()->peerAddress() };
@@ -57,11 +63,32 @@
 
 void DevFleet::start()
 {
+    if (this->options.slowShare > 0)
+        asio::co_spawn(*this->context, this->moveSlowness(), asio::detached);
     this->thread = std::thread([this] { this->context->run(); });
     for (const std::unique_ptr<EntryVm>& vm : this->vms)
         vm->start();
 }
 
+// Makes other servers of each service slow at an interval, as momentary stragglers are.
+wire::Task<void> DevFleet::moveSlowness()
+{
+    core::RandomEngine random(this->options.seed);
+    wire::Timer timer(this->context->get_executor());
+    for (;;) {
+        std::vector<std::size_t> order(this->options.serversPerService);
+        for (std::size_t first = 0; first < this->backends.size(); first += order.size()) {
+            std::iota(order.begin(), order.end(), first);
+            std::shuffle(order.begin(), order.end(), random);
+            const auto slow = static_cast<std::size_t>(std::lround(this->options.slowShare * static_cast<double>(order.size())));
+            for (std::size_t i = 0; i < order.size(); ++i)
+                this->backends[order[i]]->setFaults({ .slowdown = i < slow ? this->options.slowdown : 1 });
+        }
+        timer.expires_after(this->options.slowTime);
+        co_await timer.async_wait(wire::useResult);
+    }
+}
+
 void DevFleet::declareObjects()
 {
     const declare::FileObjects files = declare::readFiles({ this->options.examples + '/' + this->options.user.name });
--- a/src/app/dev.h
+++ b/src/app/dev.h
@@ -27,6 +27,10 @@
         std::uint32_t serversPerService = 4;
         std::uint32_t trafficThreads = 1;
         std::uint64_t seed = 1;
+        request::ChooserKind chooser = request::ChooserKind::HomeSubset;
+        double slowShare = 0; // share of the servers that is slow at any moment
+        double slowdown = 10; // factor on the service time of a slow server
+        core::Duration slowTime = std::chrono::seconds(3); // after which other servers are slow
     };
 
     explicit DevFleet(Options);
@@ -45,6 +49,7 @@
 
 private:
     void declareObjects();
+    wire::Task<void> moveSlowness();
     void listServers();
 
     Options options;
--- a/src/app/dev_command.cpp
+++ b/src/app/dev_command.cpp
@@ -21,11 +21,29 @@
 
     using Fleets = std::vector<std::unique_ptr<DevFleet>>;
 
+    DevFleet::Options fleetOptions(const DevUser& user, const po::variables_map& values)
+    {
+        const std::string& chooser = values["chooser"].as<std::string>();
+        const std::optional<request::ChooserKind> kind = core::parseName<request::ChooserKind>(chooser);
+        if (!kind)
+            throw core::Error(core::ErrorKind::BadUsage, "--chooser " + chooser + ": allowed are " + core::allNames<request::ChooserKind>());
+        return {
+            .user = user,
+            .examples = values["examples"].as<std::string>(),
+            .serversPerService = values["servers"].as<std::uint32_t>(),
+            .seed = values["seed"].as<std::uint64_t>(),
+            .chooser = *kind,
+            .slowShare = values["slow-share"].as<double>(),
+            .slowdown = values["slowdown"].as<double>(),
+            .slowTime = std::chrono::milliseconds(values["slow-ms"].as<std::uint32_t>()),
+        };
+    }
+
     Fleets startFleets(const po::variables_map& values)
     {
         Fleets fleets;
         for (const DevUser& user : devUsers()) {
-            fleets.push_back(std::make_unique<DevFleet>(DevFleet::Options { .user = user, .examples = values["examples"].as<std::string>(), .seed = values["seed"].as<std::uint64_t>() }));
+            fleets.push_back(std::make_unique<DevFleet>(fleetOptions(user, values)));
             fleets.back()->start();
         }
         return fleets;
@@ -158,7 +176,12 @@
     po::options_description options("options");
     options.add_options()("once", "send a mixed load of both users, print the results and end")(
         "examples", po::value<std::string>()->default_value("examples"), "folder with the users' declarations")(
-        "seed", po::value<std::uint64_t>()->default_value(1), "of all random decisions")("verbose", "log more");
+        "seed", po::value<std::uint64_t>()->default_value(1), "of all random decisions")(
+        "servers", po::value<std::uint32_t>()->default_value(4), "backend servers of each service")(
+        "chooser", po::value<std::string>()->default_value("home-subset"), "how the entry VMs choose backend servers; see docs/reference.md")(
+        "slow-share", po::value<double>()->default_value(0), "share of the servers that is slow at any moment")(
+        "slowdown", po::value<double>()->default_value(10), "factor on the service time of a slow server")(
+        "slow-ms", po::value<std::uint32_t>()->default_value(3000), "time after which other servers are slow")("verbose", "log more");
     addOutputOption(options);
     const std::optional<po::variables_map> values = parseArguments("dev", "Runs both users' example systems in one process.", options, arguments);
     if (!values)
