--- a/src/control/regions.cpp
+++ b/src/control/regions.cpp
@@ -14,6 +14,8 @@
     // The need of a region that its figures do not show yet, in slots per slot and second of age. Peaks of the users
     // start within tens of seconds, so a figure of some seconds hides a part of one.
     constexpr double hiddenGrowth = 0.02;
+    // Part of the headroom that hidden growth may use: the headroom is there for peaks.
+    constexpr double growthOfHeadroom = 0.15;
     // Spare to assume in a region without known figures, as a share of its slots. With the division by entry VMs
     // the sum stays below it even if all regions spill over there.
     constexpr double unknownSpare = 0.05;
@@ -82,7 +84,8 @@
                 plan.left[position][region] = plan.slots[position][region] * (1 - admitted * kept);
                 plan.overflow[region] += plan.left[position][region];
             }
-            const double known = std::max(0.0, usable - local - hiddenGrowth * plan.age[region] * supply.slotsAll[region]) * spareUse;
+            const double hidden = std::max(0.0, hiddenGrowth * plan.age[region] - growthOfHeadroom * supply.headroom) * supply.slotsAll[region];
+            const double known = std::max(0.0, usable - local - hidden) * spareUse;
             const double assumed = std::min(known, unknownSpare * supply.slotsAll[region]);
             plan.spare[region] = plan.trust[region] * known + (1 - plan.trust[region]) * assumed;
         }
--- a/tests/pure/lookup.cpp
+++ b/tests/pure/lookup.cpp
@@ -61,6 +61,7 @@
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
         core::RandomEngine random(seed);
         std::vector<core::CallerBlock> blocks;
+        blocks.reserve(200);
         for (int i = 0; i < 200; ++i)
             blocks.push_back({ .firstAddress = static_cast<std::uint32_t>(random()) & 0xC0F0F0FFU, .prefixLength = static_cast<std::uint8_t>(random() % 33), .site = static_cast<std::uint8_t>(random() % 6) });
         const core::BlockTable table(blocks);
