--- a/src/request/attempt_end.cpp
+++ b/src/request/attempt_end.cpp
@@ -66,9 +66,9 @@
 Next<FinishedAttempt> JudgeCrash::operator()(FinishedAttempt ended, core::TimePoint now) const
 {
     const Attempt& attempt = ended.attempt;
-    CrashBook& book = *this->state.shared.crashes;
+    CrashRegistry& registry = *this->state.shared.crashes;
     if (ended.event.result == core::AttemptResult::Answered) {
-        if (book.onSuccess(attempt.fingerprint, *this->state.table, now))
+        if (registry.onSuccess(attempt.fingerprint, *this->state.table, now))
             this->state.observe(SuspectCleared { .fingerprint = attempt.fingerprint });
         return Next<FinishedAttempt>::pass(std::move(ended));
     }
@@ -81,7 +81,7 @@
             crash.inFlight.push_back(other.fingerprint);
     }
     for (core::Fingerprint fingerprint : crash.inFlight)
-        book.onCrash(fingerprint, attempt.isolated && fingerprint == attempt.fingerprint, now);
+        registry.onCrash(fingerprint, attempt.isolated && fingerprint == attempt.fingerprint, now);
     this->state.observe(std::move(crash));
     return Next<FinishedAttempt>::pass(std::move(ended));
 }
--- a/src/request/choose.cpp
+++ b/src/request/choose.cpp
@@ -29,9 +29,9 @@
         return static_cast<std::size_t>(std::bit_width(servers));
     }
 
-    const ServerGroup& groupOf(const ServerBook& book, core::ClassIndex classIndex, core::RegionIndex region)
+    const ServerGroup& groupOf(const ServerStats& stats, core::ClassIndex classIndex, core::RegionIndex region)
     {
-        return *std::ranges::find(book.groups(classIndex), region, &ServerGroup::region);
+        return *std::ranges::find(stats.groups(classIndex), region, &ServerGroup::region);
     }
 
 }
@@ -54,13 +54,13 @@
 
 std::optional<core::ServerIndex> TwoChoices::choose(const core::SteeringTable& table, core::ClassIndex classIndex, std::span<const core::ServerIndex> excluded, core::RandomEngine& random, core::TimePoint now)
 {
-    this->book.refresh(table);
-    const std::span<const core::ServerIndex> servers = this->book.all(classIndex);
+    this->stats.refresh(table);
+    const std::span<const core::ServerIndex> servers = this->stats.all(classIndex);
     if (servers.empty())
         return std::nullopt;
     const auto load = [&](core::ServerIndex index) {
         const core::ServerEntry& server = table.at(index);
-        return server.inFlight->inFlight() + this->book.foreign(server, index, groupOf(this->book, classIndex, server.region), now);
+        return server.inFlight->inFlight() + this->stats.foreign(server, index, groupOf(this->stats, classIndex, server.region), now);
     };
     for (std::size_t i = 0; i <= extraDraws(servers.size()); ++i) {
         core::ServerIndex first = draw(servers, random);
@@ -70,7 +70,7 @@
         for (core::ServerIndex index : { first, second }) {
             if (contains(excluded, index) || !table.at(index).inFlight->tryAcquire(warmSlots(table.at(index))))
                 continue;
-            this->book.started(table, classIndex, index, now);
+            this->stats.started(table, classIndex, index, now);
             return index;
         }
     }
@@ -79,8 +79,8 @@
 
 std::optional<core::ServerIndex> LeastLatency::choose(const core::SteeringTable& table, core::ClassIndex classIndex, std::span<const core::ServerIndex> excluded, core::RandomEngine& random, core::TimePoint now)
 {
-    this->book.refresh(table);
-    const std::span<const core::ServerIndex> servers = this->book.all(classIndex);
+    this->stats.refresh(table);
+    const std::span<const core::ServerIndex> servers = this->stats.all(classIndex);
     struct Sample {
         core::ServerIndex index;
         double load;
@@ -93,7 +93,7 @@
         const core::ServerEntry& server = table.at(index);
         if (contains(excluded, index) || server.inFlight->inFlight() >= warmSlots(server))
             continue;
-        samples.push_back({ index, server.inFlight->inFlight() + this->book.foreign(server, index, groupOf(this->book, classIndex, server.region), now), this->book.latency(index) });
+        samples.push_back({ index, server.inFlight->inFlight() + this->stats.foreign(server, index, groupOf(this->stats, classIndex, server.region), now), this->stats.latency(index) });
     }
     if (samples.empty())
         return std::nullopt;
@@ -104,7 +104,7 @@
     for (const Sample& sample : samples) {
         if (!table.at(sample.index).inFlight->tryAcquire(warmSlots(table.at(sample.index))))
             continue;
-        this->book.started(table, classIndex, sample.index, now);
+        this->stats.started(table, classIndex, sample.index, now);
         return sample.index;
     }
     return std::nullopt;
@@ -112,10 +112,10 @@
 
 std::optional<core::ServerIndex> HomeSubset::choose(const core::SteeringTable& table, core::ClassIndex classIndex, std::span<const core::ServerIndex> excluded, core::RandomEngine& random, core::TimePoint now)
 {
-    this->book.refresh(table);
+    this->stats.refresh(table);
     const core::ClassEntry& classEntry = table.at(classIndex);
-    const std::uint64_t classKey = this->book.classKey(classIndex);
-    const std::vector<ServerGroup>& groups = this->book.groups(classIndex);
+    const std::uint64_t classKey = this->stats.classKey(classIndex);
+    const std::vector<ServerGroup>& groups = this->stats.groups(classIndex);
     const auto tryGroup = [&](const ServerGroup& group) {
         return this->chooseIn({ .table = table, .classEntry = classEntry, .group = group, .excluded = excluded, .random = random, .now = now });
     };
@@ -136,13 +136,13 @@
         }
     }
     if (chosen)
-        this->book.started(table, classIndex, *chosen, now);
+        this->stats.started(table, classIndex, *chosen, now);
     return chosen;
 }
 
 void HomeSubset::ended(const EndedAttempt& attempt, core::TimePoint now)
 {
-    this->book.ended(attempt, now);
+    this->stats.ended(attempt, now);
     this->regionShares.ended(attempt.classKey, attempt.serverKey);
 }
 
@@ -195,7 +195,7 @@
 // request of its own.
 std::optional<core::ServerIndex> HomeSubset::chooseRecent(const Request& request)
 {
-    for (core::ServerIndex index : this->book.recent(request.group.rest.front())) {
+    for (core::ServerIndex index : this->stats.recent(request.group.rest.front())) {
         const core::ServerEntry& server = request.table.at(index);
         if (!mayGetWork(server) || server.region != request.group.region || server.inFlight->inFlight() > 0)
             continue;
@@ -217,7 +217,7 @@
     for (std::size_t i = 0; i < tries; ++i) {
         const std::size_t position = this->nextRest++ % rest.size();
         std::optional<double> candidate = this->score(request, rest[position], Standing::Probing);
-        if (candidate && this->book.standing(request.table.at(rest[position]), request.now) == Standing::Probing)
+        if (candidate && this->stats.standing(request.table.at(rest[position]), request.now) == Standing::Probing)
             *candidate += probePenalty;
         if (!candidate || *candidate >= bestScore)
             continue;
@@ -244,8 +244,8 @@
         return false;
     if (request.classEntry.length == core::WorkLength::Long && !group.home.empty())
         return false;
-    const double allowed = this->options.spillFactor * group.freeSlots / this->book.members();
-    return static_cast<double>(this->book.spilled(group.rest.front())) < std::max(allowed, static_cast<double>(this->options.leastSpill));
+    const double allowed = this->options.spillFactor * group.freeSlots / this->stats.members();
+    return static_cast<double>(this->stats.spilled(group.rest.front())) < std::max(allowed, static_cast<double>(this->options.leastSpill));
 }
 
 // Slots of the server that the request's class may fill.
@@ -255,8 +255,8 @@
         return warmSlots(server);
     const ServerGroup& group = request.group;
     const core::ServerIndex any = group.home.empty() ? group.rest.front() : group.home.front();
-    const double ownSlots = group.slots / this->book.members() / this->options.threads;
-    return LaneLimits::forShortUse(this->book.shortSlots(any, request.now), ownSlots).limit(server, core::WorkLength::Long);
+    const double ownSlots = group.slots / this->stats.members() / this->options.threads;
+    return LaneLimits::forShortUse(this->stats.shortSlots(any, request.now), ownSlots).limit(server, core::WorkLength::Long);
 }
 
 // A server that warms up or is drained accepts a share of its usual traffic, relative to the warmest of its group:
@@ -276,7 +276,7 @@
     const std::uint32_t own = server.inFlight->inFlight();
     if (server.inFlight->isReserved() || own >= this->limit(request, server) || contains(request.excluded, index))
         return std::nullopt;
-    const Standing standing = this->book.standing(server, request.now);
+    const Standing standing = this->stats.standing(server, request.now);
     if (standing > worst || !this->accepts(request, server))
         return std::nullopt;
     return static_cast<double>(own) / warmSlots(server) + (standing == Standing::Suspect ? suspectPenalty : 0);
--- a/src/request/choose.h
+++ b/src/request/choose.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/table.h"
-#include "request/book.h"
 #include "request/regions.h"
+#include "request/server_stats.h"
 
 #include <concepts>
 #include <optional>
@@ -40,16 +40,16 @@
 // Takes the better of two random servers by own requests in flight and the last report. For comparison.
 class TwoChoices {
 public:
-    explicit TwoChoices(ServerBook::Options bookOptions = {})
-        : book(bookOptions)
+    explicit TwoChoices(ServerStats::Options statsOptions = {})
+        : stats(statsOptions)
     {
     }
 
     std::optional<core::ServerIndex> choose(const core::SteeringTable&, core::ClassIndex, std::span<const core::ServerIndex> excluded, core::RandomEngine&, core::TimePoint now);
-    void ended(const EndedAttempt& attempt, core::TimePoint now) { this->book.ended(attempt, now); }
+    void ended(const EndedAttempt& attempt, core::TimePoint now) { this->stats.ended(attempt, now); }
 
 private:
-    ServerBook book;
+    ServerStats stats;
 };
 
 // Samples some servers, leaves out the hot ones (many requests in flight) and takes the one with the lowest
@@ -57,16 +57,16 @@
 // balance: Introducing Prequal" (Wydrowski et al., NSDI 2024), with reports in place of its probes. For comparison.
 class LeastLatency {
 public:
-    explicit LeastLatency(ServerBook::Options bookOptions = {})
-        : book(bookOptions)
+    explicit LeastLatency(ServerStats::Options statsOptions = {})
+        : stats(statsOptions)
     {
     }
 
     std::optional<core::ServerIndex> choose(const core::SteeringTable&, core::ClassIndex, std::span<const core::ServerIndex> excluded, core::RandomEngine&, core::TimePoint now);
-    void ended(const EndedAttempt& attempt, core::TimePoint now) { this->book.ended(attempt, now); }
+    void ended(const EndedAttempt& attempt, core::TimePoint now) { this->stats.ended(attempt, now); }
 
 private:
-    ServerBook book;
+    ServerStats stats;
 };
 
 // Uses the home part of the servers first, where this entry VM's own counts are nearly the truth, and spills
@@ -74,7 +74,7 @@
 class HomeSubset {
 public:
     struct Options {
-        ServerBook::Options book {};
+        ServerStats::Options stats {};
         std::size_t homeSample = 8; // home servers compared for one choice
         std::size_t restSample = 4; // others compared, and the logarithm of their number more
         double spillFactor = 16; // requests outside the home part, in this VM's equal part of the free slots
@@ -91,7 +91,7 @@
 
     explicit HomeSubset(Options chooserOptions)
         : options(chooserOptions)
-        , book(chooserOptions.book)
+        , stats(chooserOptions.stats)
         , regionShares(chooserOptions.threads)
     {
     }
@@ -99,7 +99,7 @@
     std::optional<core::ServerIndex> choose(const core::SteeringTable&, core::ClassIndex, std::span<const core::ServerIndex> excluded, core::RandomEngine&, core::TimePoint now);
     void ended(const EndedAttempt&, core::TimePoint now);
 
-    const OutlierDetector& detector() const { return this->book.detector(); }
+    const OutlierDetector& detector() const { return this->stats.detector(); }
 
 private:
     struct Request {
@@ -122,7 +122,7 @@
     std::optional<double> score(const Request&, core::ServerIndex, Standing worst) const;
 
     Options options;
-    ServerBook book;
+    ServerStats stats;
     RegionShares regionShares;
     std::size_t nextRest = 0; // whose turn it is
 };
--- a/src/request/crash.cpp
+++ b/src/request/crash.cpp
@@ -4,12 +4,12 @@
 
 namespace cranberryshed::request {
 
-CrashBook::CrashBook(CrashOptions crashOptions)
+CrashRegistry::CrashRegistry(CrashOptions crashOptions)
     : options(crashOptions)
 {
 }
 
-Suspicion CrashBook::onCrash(core::Fingerprint fingerprint, bool isolatedRun, core::TimePoint now)
+Suspicion CrashRegistry::onCrash(core::Fingerprint fingerprint, bool isolatedRun, core::TimePoint now)
 {
     const std::lock_guard lock(this->mutex);
     const bool held = this->ownSuspicion(fingerprint, now) == Suspicion::Quarantined;
@@ -24,7 +24,7 @@
     return entry.level;
 }
 
-bool CrashBook::onSuccess(core::Fingerprint fingerprint, const core::SteeringTable& table, core::TimePoint now)
+bool CrashRegistry::onSuccess(core::Fingerprint fingerprint, const core::SteeringTable& table, core::TimePoint now)
 {
     if (this->suspicion(fingerprint, table, now) != Suspicion::Suspect)
         return false;
@@ -34,7 +34,7 @@
     return true;
 }
 
-Suspicion CrashBook::suspicion(core::Fingerprint fingerprint, const core::SteeringTable& table, core::TimePoint now) const
+Suspicion CrashRegistry::suspicion(core::Fingerprint fingerprint, const core::SteeringTable& table, core::TimePoint now) const
 {
     const auto value = static_cast<std::uint64_t>(fingerprint);
     if (!table.quarantined.empty() && table.quarantined.contains(value))
@@ -47,7 +47,7 @@
 }
 
 // A quarantine that control did not confirm in time leaves a suspect.
-Suspicion CrashBook::ownSuspicion(core::Fingerprint fingerprint, core::TimePoint now) const
+Suspicion CrashRegistry::ownSuspicion(core::Fingerprint fingerprint, core::TimePoint now) const
 {
     const auto found = this->entries.find(fingerprint);
     if (found == this->entries.end())
@@ -59,19 +59,19 @@
     return unconfirmed ? Suspicion::Suspect : Suspicion::Clear;
 }
 
-bool CrashBook::beginIsolation(core::Fingerprint fingerprint)
+bool CrashRegistry::beginIsolation(core::Fingerprint fingerprint)
 {
     const std::lock_guard lock(this->mutex);
     return this->isolated.insert(fingerprint).second;
 }
 
-void CrashBook::endIsolation(core::Fingerprint fingerprint)
+void CrashRegistry::endIsolation(core::Fingerprint fingerprint)
 {
     const std::lock_guard lock(this->mutex);
     this->isolated.erase(fingerprint);
 }
 
-void CrashBook::forgetExpired(core::TimePoint now)
+void CrashRegistry::forgetExpired(core::TimePoint now)
 {
     if (this->empty)
         return;
@@ -80,7 +80,7 @@
     this->empty = this->entries.empty();
 }
 
-void CrashBook::makeRoom()
+void CrashRegistry::makeRoom()
 {
     if (this->entries.size() < this->options.limit)
         return;
--- a/src/request/crash.h
+++ b/src/request/crash.h
@@ -35,11 +35,11 @@
 // A fingerprint is quarantined only by a crash while it ran in isolation. A request that was merely in flight
 // beside the cause is a suspect, however often that happens, and its next success clears it.
 //
-// All traffic threads share one book, so that a request sent again on another connection is recognised at
-// once. The mutex is only taken while the book has entries.
-class CrashBook {
+// All traffic threads share one registry, so that a request sent again on another connection is recognised at
+// once. The mutex is only taken while the registry has entries.
+class CrashRegistry {
 public:
-    explicit CrashBook(CrashOptions);
+    explicit CrashRegistry(CrashOptions);
 
     // A server that ran this request broke its connection without an answer. Returns what is now thought of it.
     Suspicion onCrash(core::Fingerprint, bool isolated, core::TimePoint now);
--- a/src/request/book.cpp
+++ b/src/request/server_stats.cpp
@@ -1,4 +1,4 @@
-#include "request/book.h"
+#include "request/server_stats.h"
 
 #include "core/hash.h"
 
@@ -12,7 +12,7 @@
     return (server.state == core::ServerState::Active || server.state == core::ServerState::Warming) && server.warmth > 0;
 }
 
-void ServerBook::refresh(const core::SteeringTable& table)
+void ServerStats::refresh(const core::SteeringTable& table)
 {
     if (this->seen == &table && this->generation == table.generation)
         return;
@@ -26,7 +26,7 @@
 }
 
 // Carries the records over to the new table's indexes.
-void ServerBook::rebuildRecords(const core::SteeringTable& table)
+void ServerStats::rebuildRecords(const core::SteeringTable& table)
 {
     std::vector<ServerRecord> carried(table.servers.size());
     std::unordered_map<std::uint64_t, std::uint32_t> newIndexes;
@@ -69,7 +69,7 @@
     this->serverKeys = std::move(keys);
 }
 
-void ServerBook::rebuildClass(const core::SteeringTable& table, const core::ClassEntry& entry, ClassRecord& classRecord)
+void ServerStats::rebuildClass(const core::SteeringTable& table, const core::ClassEntry& entry, ClassRecord& classRecord)
 {
     classRecord.key = core::hashBytes(entry.name);
     for (core::ServerIndex index : entry.servers) {
@@ -92,14 +92,14 @@
         group.foreignPrior /= static_cast<double>(group.home.size() + group.rest.size());
 }
 
-double ServerBook::reportWeight(core::TimePoint reportedAt, core::TimePoint now) const
+double ServerStats::reportWeight(core::TimePoint reportedAt, core::TimePoint now) const
 {
     const double age = std::max(0.0, std::chrono::duration<double>(now - reportedAt).count());
     const double half = std::chrono::duration<double>(this->options.reportAge).count();
     return half / (half + age);
 }
 
-double ServerBook::foreign(const core::ServerEntry& server, core::ServerIndex index, const ServerGroup& group, core::TimePoint now) const
+double ServerStats::foreign(const core::ServerEntry& server, core::ServerIndex index, const ServerGroup& group, core::TimePoint now) const
 {
     if (!server.report)
         return group.foreignPrior;
@@ -108,7 +108,7 @@
     return weight * entry.foreignAtReport + (1 - weight) * group.foreignPrior;
 }
 
-void ServerBook::started(const core::SteeringTable& table, core::ClassIndex classIndex, core::ServerIndex index, core::TimePoint now)
+void ServerStats::started(const core::SteeringTable& table, core::ClassIndex classIndex, core::ServerIndex index, core::TimePoint now)
 {
     const core::ServerEntry& server = table.at(index);
     this->outliers.started({ .serverKey = server.key, .classKey = this->classKey(classIndex), .length = table.at(classIndex).length, .startedAt = now });
@@ -119,7 +119,7 @@
     ++this->pools[entry.pool].spilled;
 }
 
-void ServerBook::ended(const EndedAttempt& attempt, core::TimePoint now)
+void ServerStats::ended(const EndedAttempt& attempt, core::TimePoint now)
 {
     const double usual = this->outliers.typicalSeconds(attempt.classKey);
     this->outliers.ended({ .serverKey = attempt.serverKey, .classKey = attempt.classKey, .length = attempt.length, .startedAt = attempt.startedAt }, attempt.result, now);
@@ -140,7 +140,7 @@
         this->remember({ found->second });
 }
 
-void ServerBook::remember(core::ServerIndex index)
+void ServerStats::remember(core::ServerIndex index)
 {
     std::vector<core::ServerIndex>& recent = this->pools[this->records[index.value].pool].recent;
     const auto known = std::ranges::find(recent, index);
--- a/src/request/book.h
+++ b/src/request/server_stats.h
@@ -37,7 +37,7 @@
 // What the choosers of one traffic thread know about backend servers: who may get work, what other entry VMs
 // are likely to run there, how fast each one answers. Lists are built once for each steering table, so that
 // a choice touches only the servers that it looks at.
-class ServerBook {
+class ServerStats {
 public:
     struct Options {
         OutlierDetector::Options outlier {};
@@ -48,9 +48,9 @@
         double goodRatio = 3; // time of a good answer at most, in usual times
     };
 
-    explicit ServerBook(Options bookOptions)
-        : options(bookOptions)
-        , outliers(bookOptions.outlier)
+    explicit ServerStats(Options statsOptions)
+        : options(statsOptions)
+        , outliers(statsOptions.outlier)
     {
     }
 
--- a/src/request/state.cpp
+++ b/src/request/state.cpp
@@ -21,7 +21,7 @@
 
 Shared makeShared(std::string_view member, core::Incarnation incarnation, std::uint64_t seed, KeyOptions keys, CrashOptions crashes)
 {
-    return { .keys = std::make_shared<KeyLedger>(core::hashBytes(member), incarnation, keys, seed), .crashes = std::make_shared<CrashBook>(crashes) };
+    return { .keys = std::make_shared<KeyLedger>(core::hashBytes(member), incarnation, keys, seed), .crashes = std::make_shared<CrashRegistry>(crashes) };
 }
 
 State::State(EngineOptions engineOptions, Shared sharedParts, std::uint64_t seed)
@@ -33,7 +33,7 @@
     , headroom(engineOptions.headroom)
 {
     if (!this->shared.keys || !this->shared.crashes)
-        throw core::Error(core::ErrorKind::BadSettings, "the request engine needs the key ledger and the crash book of its process");
+        throw core::Error(core::ErrorKind::BadSettings, "the request engine needs the key ledger and the crash registry of its process");
 }
 
 void State::setTable(core::SteeringTablePointer newTable)
--- a/src/request/state.h
+++ b/src/request/state.h
@@ -37,7 +37,7 @@
 // What all traffic threads of a process share.
 struct Shared {
     std::shared_ptr<KeyLedger> keys;
-    std::shared_ptr<CrashBook> crashes;
+    std::shared_ptr<CrashRegistry> crashes;
 };
 
 // For one start of the entry VM `member`. The seed must differ between starts: it makes the keys' nonces.
--- a/tests/pure/crash.cpp
+++ b/tests/pure/crash.cpp
@@ -115,25 +115,25 @@
 {
     const core::SteeringTable table;
     const request::CrashOptions options;
-    request::CrashBook book(options);
+    request::CrashRegistry registry(options);
     const core::TimePoint start { std::chrono::hours(1) };
     const core::Fingerprint fingerprint { poison };
     using request::Suspicion;
     for (int i = 0; i < 5; ++i)
-        CHECK(book.onCrash(fingerprint, false, start) == Suspicion::Suspect);
-    CHECK(book.onCrash(fingerprint, true, start) == Suspicion::Quarantined);
-    CHECK_FALSE(book.onSuccess(fingerprint, table, start));
+        CHECK(registry.onCrash(fingerprint, false, start) == Suspicion::Suspect);
+    CHECK(registry.onCrash(fingerprint, true, start) == Suspicion::Quarantined);
+    CHECK_FALSE(registry.onSuccess(fingerprint, table, start));
     const core::TimePoint unconfirmed = start + options.quarantineTime;
-    CHECK(book.suspicion(fingerprint, table, unconfirmed) == Suspicion::Suspect);
+    CHECK(registry.suspicion(fingerprint, table, unconfirmed) == Suspicion::Suspect);
     core::SteeringTable confirmed;
     confirmed.quarantined.insert(poison);
-    CHECK(book.suspicion(fingerprint, confirmed, unconfirmed) == Suspicion::Quarantined);
+    CHECK(registry.suspicion(fingerprint, confirmed, unconfirmed) == Suspicion::Quarantined);
     const core::TimePoint end = unconfirmed + options.suspectTime;
-    CHECK(book.suspicion(fingerprint, table, end) == Suspicion::Clear);
+    CHECK(registry.suspicion(fingerprint, table, end) == Suspicion::Clear);
     core::SteeringTable peers;
     peers.suspects.insert(poison);
-    CHECK(book.suspicion(fingerprint, peers, end) == Suspicion::Suspect);
-    CHECK(book.onSuccess(fingerprint, peers, end));
+    CHECK(registry.suspicion(fingerprint, peers, end) == Suspicion::Suspect);
+    CHECK(registry.onSuccess(fingerprint, peers, end));
 }
 
 // Guards against a poison request that its caller carries from one entry VM to the next, and against its
