Keep chunked answers, HEAD and broken uploads in step

Cause: an answer in chunks ended with two last chunks, because an empty buffer is written as a chunk of size 0; the next answer on the caller's connection was then read at the wrong place. Found by the new test of framings: six of its checks failed. By reading: an answer to HEAD in chunks got a last chunk, a connection with a half-sent request could return to the pool, and an upload that its caller broke off held its slot until the deadline. Change: no empty buffer, no chunked coding without a body, SendEnd tells who broke off a request, only whole requests return a connection to the pool. Measured: tests/io/framing.cpp passes, 16 assertions. The HEAD and upload cases were not run on the code before. Conclusion: the connection stays in step for every framing tested.

--- a/src/wire/exchange.h
+++ b/src/wire/exchange.h
@@ -21,6 +21,7 @@
     core::TimePoint deadline {};
     std::unique_ptr<BackendConnection> connection;
     std::unique_ptr<BackendParser> parser;
+    bool requestSent = false; // the whole request, so that the connection can take another one
     bool cancelled = false;
     bool relayed = false; // the engine chose this attempt's answer
 
@@ -50,7 +51,6 @@
     RequestHeader header; // as sent to backend servers
     std::string bodyStart; // the part of the body that can be sent again
     bool bodyComplete = true; // bodyStart is the whole body
-    bool bodyTaken = false; // an attempt reads the rest of the body from the caller
     VerdictChannel verdict;
     Timer timer;
     std::vector<std::shared_ptr<Attempt>> attempts;
--- a/src/wire/upstream.cpp
+++ b/src/wire/upstream.cpp
@@ -68,10 +68,17 @@
         text += "\r\n";
     }
 
-    // Sends the rest of a body that is too large to be kept. Returns false if either side failed.
-    Task<bool> streamBody(Worker& worker, Exchange& exchange, Attempt& attempt, BodySource source)
+    // How far a request was sent.
+    enum class SendEnd : std::uint8_t {
+        Whole,
+        Nothing, // no byte
+        ServerFailed, // in part; the server may have answered early
+        CallerFailed, // in part, because the caller broke off its body
+    };
+
+    // Sends the rest of a body that is too large to be kept.
+    Task<SendEnd> streamBody(Worker& worker, Attempt& attempt, BodySource source)
     {
-        exchange.bodyTaken = true;
         const bool chunked = source.parser->chunked();
         const std::unique_ptr<char[]> chunk = makeChunk(worker.limits().relayBytes);
         std::string framed;
@@ -82,7 +89,7 @@
             source.stream.expires_after(worker.limits().progressTimeout);
             const error_code readError = co_await feed(source.stream, source.buffer, *source.parser);
             if (readError && readError != http::error::need_buffer)
-                co_return false;
+                co_return SendEnd::CallerFailed;
             const std::string_view piece(chunk.get(), worker.limits().relayBytes - body.size);
             if (piece.empty())
                 continue;
@@ -95,20 +102,15 @@
             attempt.connection->stream.expires_after(worker.limits().progressTimeout);
             auto [writeError, count] = co_await asio::async_write(attempt.connection->stream, out, useResult);
             if (writeError || attempt.cancelled)
-                co_return false;
+                co_return SendEnd::ServerFailed;
         }
         if (!chunked)
-            co_return true;
+            co_return SendEnd::Whole;
         auto [lastError, lastCount] = co_await asio::async_write(attempt.connection->stream, asio::buffer("0\r\n\r\n", 5), useResult);
-        co_return !lastError;
+        co_return lastError ? SendEnd::ServerFailed : SendEnd::Whole;
     }
 
-    struct SendResult {
-        bool complete = false;
-        bool bytesSent = false;
-    };
-
-    Task<SendResult> send(Worker& worker, Exchange& exchange, Attempt& attempt, BodySource source)
+    Task<SendEnd> send(Worker& worker, Exchange& exchange, Attempt& attempt, BodySource source)
     {
         std::string text = headerText(exchange, attempt);
         const bool chunked = source.parser->chunked();
@@ -120,9 +122,10 @@
         attempt.connection->stream.expires_after(worker.limits().progressTimeout);
         auto [error, count] = co_await asio::async_write(attempt.connection->stream, parts, useResult);
         if (error)
-            co_return SendResult { .complete = false, .bytesSent = count > 0 };
-        const bool complete = exchange.bodyComplete || co_await streamBody(worker, exchange, attempt, source);
-        co_return SendResult { .complete = complete, .bytesSent = true };
+            co_return count > 0 ? SendEnd::ServerFailed : SendEnd::Nothing;
+        if (exchange.bodyComplete)
+            co_return SendEnd::Whole;
+        co_return co_await streamBody(worker, attempt, source);
     }
 
     // Reads up to the final answer's head; interim answers (1xx) are skipped.
@@ -163,8 +166,9 @@
         removeHopByHop(message.base());
         const bool chunkable = callerVersion >= 11;
         const bool unbounded = !hasLength && !parser.is_done();
-        if (unbounded)
-            message.chunked(chunkable);
+        // An answer without a body, such as one to HEAD, must not end with a last chunk.
+        if (unbounded || parser.is_done())
+            message.chunked(unbounded && chunkable);
         message.version(11);
         message.keep_alive(keepAlive && (!unbounded || chunkable));
         return !unbounded || chunkable;
@@ -190,13 +194,14 @@
     const bool connected = co_await connect(worker, attempt);
     if (!connected)
         co_return ended(AttemptResult::ConnectFailed);
-    const SendResult sent = co_await send(worker, exchange, attempt, source);
-    if (!sent.bytesSent)
+    const SendEnd sent = co_await send(worker, exchange, attempt, source);
+    attempt.requestSent = sent == SendEnd::Whole;
+    if (sent == SendEnd::Nothing)
         co_return ended(AttemptResult::ConnectFailed);
-    // Even if the body could not be sent whole, the server may have answered early.
-    if (!sent.complete && exchange.bodyComplete)
-        co_return ended(AttemptResult::Broken);
-    if (!sent.complete && !source.parser->is_done() && attempt.cancelled)
+    // The server would wait for the rest of the body. It did not crash, so the attempt does not count as broken.
+    if (sent == SendEnd::CallerFailed)
+        attempt.cancel();
+    if (attempt.cancelled)
         co_return ended(AttemptResult::Cancelled);
     attempt.connection->stream.expires_never();
     if (co_await readHead(exchange, attempt))
@@ -233,10 +238,11 @@
                 co_return result;
             }
             body.size = chunkSize - body.size;
-            body.data = chunk.get();
             body.more = !parser.is_done();
             if (body.size == 0 && body.more)
                 continue;
+            // An empty buffer would be written as a chunk of size 0, which is the last chunk, before the real one.
+            body.data = body.size == 0 ? nullptr : chunk.get();
         }
         caller.expires_after(worker.limits().progressTimeout);
         auto [writeError, count] = co_await http::async_write(caller, serializer, useResult);
@@ -250,7 +256,7 @@
     }
     result.attempt = AttemptResult::Answered;
     result.callerUsable = framed;
-    if (parser.keep_alive() && !attempt.cancelled) {
+    if (parser.keep_alive() && attempt.requestSent && !attempt.cancelled) {
         attempt.connection->stream.expires_never();
         worker.connections().put(attempt.address, std::move(attempt.connection), steadyNow());
     }
--- /dev/null
+++ b/tests/io/framing.cpp
@@ -0,0 +1,87 @@
+// Answers of every framing, and uploads that their callers break off.
+
+#include "raw_server.h"
+#include "vm_fixture.h"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+using namespace cranberryshed;
+using namespace cranberryshed::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Entry VMs whose only backend server is this one.
+void useOnly(VmFixture& fixture, const RawServer& server)
+{
+    fixture.store.setServers({ { .name = "raw", .address = server.address(), .service = "shop", .batch = "first", .domain = "north-1" } });
+}
+
+// Reads what follows a header up to the end of the last chunk.
+std::string chunkedBody(RawClient& client)
+{
+    return client.readUntil("0\r\n\r\n");
+}
+
+}
+
+// Guards against an answer whose end the caller finds at the wrong place, which shifts all later answers on
+// the connection.
+TEST_CASE("answers of every framing keep the connection in step", "[framing]")
+{
+    VmFixture fixture(0);
+    RawServer server({
+        { "HEAD /stock/chunked", { .bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" } },
+        { "GET /stock/chunked", { .bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n" } },
+        { "GET /stock/to-eof", { .bytes = "HTTP/1.1 200 OK\r\n\r\nuntil the end", .closeAfter = true } },
+        { "GET /stock/none", { .bytes = "HTTP/1.1 204 No Content\r\n\r\n" } },
+        { "GET /stock/interim", { .bytes = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" } },
+        { "GET /stock/sized", { .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbell" } },
+    });
+    fixture.declareClass("heads", "HEAD", "/stock/", "idempotent", "short");
+    useOnly(fixture, server);
+    const std::string address = fixture.startVm(fixture.vmOptions("vm-1")).callerAddress();
+    VmFixture::waitForLookup(address);
+    RawClient client(address);
+    const auto sized = [&] {
+        const RawAnswer answer = client.ask(get("/stock/sized"));
+        return answer.status() == 200 && answer.body == "bell";
+    };
+    REQUIRE(sized());
+    CHECK(client.ask("HEAD /stock/chunked HTTP/1.1\r\nHost: t\r\n\r\n").status() == 200);
+    CHECK(sized());
+    CHECK(client.ask(get("/stock/chunked")).status() == 200);
+    CHECK(chunkedBody(client) == "5\r\nhello\r\n0\r\n\r\n");
+    CHECK(sized());
+    CHECK(client.ask(get("/stock/to-eof")).status() == 200);
+    CHECK_THAT(chunkedBody(client), Catch::Contains("until the end"));
+    CHECK(sized());
+    CHECK(client.ask(get("/stock/none")).status() == 204);
+    CHECK(sized());
+    CHECK(client.ask(get("/stock/interim")).body == "ok");
+    CHECK(sized());
+}
+
+// Guards against a slot that stays taken, and against a request taken for the cause of a crash, when a caller
+// breaks off its upload.
+TEST_CASE("an upload that its caller breaks off frees its slot", "[framing]")
+{
+    VmFixture fixture(1);
+    app::EntryVm& vm = fixture.startVm(fixture.vmOptions("vm-1"));
+    VmFixture::waitForLookup(vm.callerAddress(), "upload");
+    {
+        RawClient client(vm.callerAddress());
+        client.send("PUT /uploads/1 HTTP/1.1\r\nHost: t\r\nContent-Length: 1000000\r\n\r\n" + std::string(300'000, 'u'));
+        std::this_thread::sleep_for(200ms);
+    }
+    const auto dump = [&] { return boost::json::parse(RawClient(vm.adminAddress()).ask(get("/v1/dump")).body); };
+    const auto inFlight = [&] {
+        const boost::json::value state = dump();
+        return state.at("servers").at(0).at("inFlight").to_number<std::uint64_t>();
+    };
+    CHECK(timeUntil([&] { return inFlight() == 0; }, 3s) < 3s);
+    const boost::json::value state = dump();
+    CHECK(state.at("suspects").to_number<std::uint64_t>() == 0);
+    CHECK(RawClient(vm.callerAddress()).ask(get("/stock/1", "X-Work-Id: s\r\n")).status() == 200);
+}
--- /dev/null
+++ b/tests/io/raw_server.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <boost/asio.hpp>
+#include <map>
+#include <string>
+#include <thread>
+
+namespace cranberryshed::test {
+
+// A backend server that answers each request with fixed bytes, by its first line up to the version. An answer
+// that ends with the connection is marked by `closeAfter`.
+class RawServer {
+public:
+    struct Answer {
+        std::string bytes;
+        bool closeAfter = false;
+    };
+
+    explicit RawServer(std::map<std::string, Answer> fixedAnswers)
+        : answers(std::move(fixedAnswers))
+        , acceptor(this->context, { boost::asio::ip::address_v4::loopback(), 0 })
+    {
+        boost::asio::co_spawn(this->context, this->accept(), boost::asio::detached);
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+
+    RawServer(const RawServer&) = delete;
+    RawServer& operator=(const RawServer&) = delete;
+
+    ~RawServer()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()); }
+
+private:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    boost::asio::awaitable<void> accept()
+    {
+        for (;;) {
+            Socket socket = co_await this->acceptor.async_accept(boost::asio::use_awaitable);
+            boost::asio::co_spawn(this->context, this->serve(std::move(socket)), boost::asio::detached);
+        }
+    }
+
+    boost::asio::awaitable<void> serve(Socket socket)
+    {
+        std::string pending;
+        for (;;) {
+            const std::size_t size = co_await boost::asio::async_read_until(socket, boost::asio::dynamic_buffer(pending), "\r\n\r\n", boost::asio::use_awaitable);
+            const std::string line = pending.substr(0, pending.find(" HTTP"));
+            pending.erase(0, size);
+            const auto found = this->answers.find(line);
+            const Answer answer = found == this->answers.end() ? Answer { .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" } : found->second;
+            co_await boost::asio::async_write(socket, boost::asio::buffer(answer.bytes), boost::asio::use_awaitable);
+            if (answer.closeAfter)
+                co_return;
+        }
+    }
+
+    std::map<std::string, Answer> answers;
+    boost::asio::io_context context { 1 };
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::thread thread;
+};
+
+}
--- a/tests/io/vm_fixture.h
+++ b/tests/io/vm_fixture.h
@@ -80,6 +80,18 @@
         return this->receive();
     }
 
+    // Reads up to the end of `mark` and returns all of it.
+    std::string readUntil(const std::string& mark)
+    {
+        while (this->pending.find(mark) == std::string::npos && this->readMore()) {
+        }
+        const std::size_t found = this->pending.find(mark);
+        const std::size_t end = found == std::string::npos ? this->pending.size() : found + mark.size();
+        const std::string text = this->pending.substr(0, end);
+        this->pending.erase(0, end);
+        return text;
+    }
+
     // Whether the other side has closed the connection without another byte.
     bool closed()
     {
