--- a/tests/io/settings.cpp
+++ b/tests/io/settings.cpp
@@ -65,7 +65,7 @@
 // Guards against a reference page that lacks an error kind which callers may get.
 TEST_CASE("the reference page lists every error kind with its status", "[settings]")
 {
-    std::ifstream file(std::string(SOURCE_DIR) + "/docs/reference.md");
+    std::ifstream file(SOURCE_DIR "/docs/reference.md");
     const std::string page(std::istreambuf_iterator<char>(file), {});
     for (std::size_t i = 0; i <= static_cast<std::size_t>(core::ErrorKind::NotInForce); ++i) {
         const core::ErrorAnswer& answer = core::answerFor(static_cast<core::ErrorKind>(i));
--- a/tests/io/vm_fixture.h
+++ b/tests/io/vm_fixture.h
@@ -87,7 +87,7 @@
         }
         const std::size_t found = this->pending.find(mark);
         const std::size_t end = found == std::string::npos ? this->pending.size() : found + mark.size();
-        const std::string text = this->pending.substr(0, end);
+        std::string text = this->pending.substr(0, end);
         this->pending.erase(0, end);
         return text;
     }
