Rename queue, shift limit and times to the usual terms; drop unused arguments

WorthQueue is DeadlineQueue, RegionPace is ShiftLimit, 'aim' is the target time, 'way' the round trip, a server's 'pace' its slowdown. Callers' connections are counted where they are served, so look-ups need not take a count back. The life of gossip items stands once.

--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -71,7 +71,7 @@
         , takeTable(std::move(tableTaker))
         , peerNode(owner, this->options.node)
         , timer(owner.get_executor())
-        , feed(owner, this->peerNode, this->state, this->options.feed, [this] { this->scheduleRun(); })
+        , feed(owner, this->peerNode, this->state, this->options.feed)
     {
         this->state.sources.self = this->options.node.name;
         this->state.sources.selfDomain = this->options.node.domain;
--- a/src/app/control_loop_impl.h
+++ b/src/app/control_loop_impl.h
@@ -11,9 +11,6 @@
 
 namespace loop {
 
-    // How long a quarantine, a suspicion or a leaving mark is known to the fleet without being renewed.
-    constexpr core::Duration itemLifetime = std::chrono::minutes(10);
-
     inline std::string formatFingerprint(core::Fingerprint fingerprint)
     {
         return fmt::format("{:016x}", static_cast<std::uint64_t>(fingerprint));
@@ -140,14 +137,14 @@
     const fleet::ItemKind kind = crash.isolated ? fleet::ItemKind::Quarantine : fleet::ItemKind::Suspect;
     for (const core::Fingerprint fingerprint : crash.inFlight) {
         wire::log(core::LogPart::Control, spdlog::level::warn, "server {} broke while it ran request {}: {}", crash.server, loop::formatFingerprint(fingerprint), core::nameOf(kind));
-        this->peerNode.publish(fleet::Item { .kind = kind, .key = loop::formatFingerprint(fingerprint), .remaining = loop::itemLifetime });
+        this->peerNode.publish(fleet::Item { .kind = kind, .key = loop::formatFingerprint(fingerprint), .remaining = fleet::itemLifetime });
     }
 }
 
 template <Feed FeedType>
 void ControlLoop<FeedType>::take(const request::SuspectCleared& cleared)
 {
-    this->peerNode.publish(fleet::Item { .kind = fleet::ItemKind::Suspect, .key = loop::formatFingerprint(cleared.fingerprint), .withdrawn = true, .remaining = loop::itemLifetime });
+    this->peerNode.publish(fleet::Item { .kind = fleet::ItemKind::Suspect, .key = loop::formatFingerprint(cleared.fingerprint), .withdrawn = true, .remaining = fleet::itemLifetime });
 }
 
 template <Feed FeedType>
--- a/src/app/declared_feed.cpp
+++ b/src/app/declared_feed.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-    // How long a leaving mark is known to the fleet without being renewed.
-    constexpr core::Duration itemLifetime = std::chrono::minutes(10);
-
     // Whether objects of this kind decide which site a caller block belongs to.
     bool isPlace(std::string_view kind)
     {
@@ -20,7 +17,7 @@
 
 }
 
-DeclaredFeed::DeclaredFeed(wire::asio::io_context& context, wire::Peer& peerNode, const ControlState& controlState, Options options, std::function<void()>)
+DeclaredFeed::DeclaredFeed(wire::asio::io_context& context, wire::Peer& peerNode, const ControlState& controlState, Options options)
     : peer(peerNode)
     , state(controlState)
     , store(
@@ -96,7 +93,7 @@
     const std::set<std::string> leaving(this->state.published.leavingServers.begin(), this->state.published.leavingServers.end());
     for (const std::string& server : leaving) {
         if (!this->sharedLeaving.contains(server))
-            this->peer.publish(fleet::Item { .kind = fleet::ItemKind::Leaving, .key = server, .remaining = itemLifetime });
+            this->peer.publish(fleet::Item { .kind = fleet::ItemKind::Leaving, .key = server, .remaining = fleet::itemLifetime });
     }
     this->sharedLeaving = leaving;
 }
--- a/src/app/declared_feed.h
+++ b/src/app/declared_feed.h
@@ -23,8 +23,7 @@
     using Pipe = control::ControlPipe;
     static Pipe makePipe() { return control::makeControlPipe(); }
 
-    // `changed` asks for a run of the control pipeline.
-    DeclaredFeed(wire::asio::io_context&, wire::Peer&, const ControlState&, Options, std::function<void()> changed);
+    DeclaredFeed(wire::asio::io_context&, wire::Peer&, const ControlState&, Options);
 
     void start() { }
     void stop();
--- a/src/fleet/view.h
+++ b/src/fleet/view.h
@@ -12,6 +12,9 @@
 
 namespace cranberryshed::fleet {
 
+// How long a quarantine, a suspicion or a leaving mark is known to the fleet without being renewed.
+constexpr core::Duration itemLifetime = std::chrono::minutes(10);
+
 // A gossip item: it is known to all members for a limited time and needs no store.
 struct Item {
     ItemKind kind = ItemKind::Quarantine;
--- a/src/lookup/near.h
+++ b/src/lookup/near.h
@@ -7,8 +7,8 @@
 
 namespace cranberryshed::lookup {
 
-// The entry VMs for callers that state their failure domain and region: those of the region that take callers, or
+// The entry VMs for callers that state their region: those of the region that take callers, or
 // if there are none, those of all regions. A suspect is only named where no other is left.
-std::vector<core::MemberIndex> nearMembers(const core::SteeringTable&, std::string_view domain, std::string_view region);
+std::vector<core::MemberIndex> nearMembers(const core::SteeringTable&, std::string_view region);
 
 }
--- a/src/request/choose.h
+++ b/src/request/choose.h
@@ -17,10 +17,8 @@
     core::ClassIndex classIndex {};
     std::span<const core::ServerIndex> excluded {};
     std::uint64_t affinity = 0; // hash of what the request is about; 0: unknown
-    core::TimePoint arrival {}; // of the request
     bool newcomer = true; // the request has just arrived
-    core::TimePoint aim = core::TimePoint::max(); // when the answer should be there
-    core::TimePoint deadline = core::TimePoint::max();
+    core::TimePoint targetAt = core::TimePoint::max(); // when the answer should be there
 
     const core::ClassEntry& classEntry() const { return this->table.at(this->classIndex); }
 };
--- a/src/request/context.h
+++ b/src/request/context.h
@@ -11,7 +11,7 @@
     core::SteeringTablePointer table;
     core::ClassIndex classIndex {};
     core::TimePoint arrivedAt {};
-    core::TimePoint aim = core::TimePoint::max(); // when the answer should be there by the class's target
+    core::TimePoint targetAt = core::TimePoint::max(); // when the answer should be there by the class's target
     core::TimePoint deadline {};
     core::Fingerprint fingerprint {}; // of the content in its class
     bool keyClaimed = false; // this request owns arrival.key
--- a/src/request/worth_queue.cpp
+++ b/src/request/deadline_queue.cpp
@@ -1,4 +1,4 @@
-#include "request/worth_queue.h"
+#include "request/deadline_queue.h"
 
 #include <algorithm>
 #include <cmath>
@@ -19,7 +19,7 @@
 
 }
 
-Offer WorthQueue::offer(const WaitingRequest& request, double, core::TimePoint now)
+Offer DeadlineQueue::offer(const WaitingRequest& request, double, core::TimePoint now)
 {
     if (latestStart(request) < now)
         return { .refusal = core::ErrorKind::DeadlineTooShort, .evicted = {}, .retryAfter = {} };
@@ -33,7 +33,7 @@
 }
 
 // The requests of the pool that go first, at the rate at which requests of the pool started from here lately.
-core::Duration WorthQueue::expectedWait(const WaitingRequest& request, core::TimePoint now) const
+core::Duration DeadlineQueue::expectedWait(const WaitingRequest& request, core::TimePoint now) const
 {
     std::size_t ahead = 1;
     for (auto place = this->order.begin(); place != this->order.end() && *place < positionOf(request); ++place)
@@ -44,7 +44,7 @@
     return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(static_cast<double>(ahead) / rate));
 }
 
-void WorthQueue::countStart(std::uint64_t pool, core::TimePoint now)
+void DeadlineQueue::countStart(std::uint64_t pool, core::TimePoint now)
 {
     Starts& counted = this->starts[pool];
     const double memory = seconds(this->options.rateMemory);
@@ -52,7 +52,7 @@
     counted.updatedAt = now;
 }
 
-bool WorthQueue::remove(core::RequestId request, core::TimePoint)
+bool DeadlineQueue::remove(core::RequestId request, core::TimePoint)
 {
     if (!this->waiting.contains(request))
         return false;
@@ -60,7 +60,7 @@
     return true;
 }
 
-std::vector<core::RequestId> WorthQueue::expire(core::TimePoint now)
+std::vector<core::RequestId> DeadlineQueue::expire(core::TimePoint now)
 {
     std::vector<core::RequestId> expired;
     while (!this->latestStarts.empty() && this->latestStarts.begin()->first < now) {
@@ -70,7 +70,7 @@
     return expired;
 }
 
-void WorthQueue::erase(core::RequestId id)
+void DeadlineQueue::erase(core::RequestId id)
 {
     const auto found = this->waiting.find(id);
     this->order.erase(positionOf(found->second));
--- a/src/request/worth_queue.h
+++ b/src/request/deadline_queue.h
@@ -13,7 +13,7 @@
 // Under overload every server slot goes to a request that is still in time, so these wait for idle slots: the more
 // urgent class first, then the request with the earliest deadline. A request that is not expected to get one
 // before its deadline is refused when it arrives, not when its deadline has passed.
-class WorthQueue {
+class DeadlineQueue {
 public:
     struct Options {
         std::size_t limit = 500; // requests
@@ -22,7 +22,7 @@
         double leastRate = 4; // starts per second that are assumed while none was seen
     };
 
-    explicit WorthQueue(Options queueOptions)
+    explicit DeadlineQueue(Options queueOptions)
         : options(queueOptions)
     {
     }
--- a/src/request/earliest_answer.cpp
+++ b/src/request/earliest_answer.cpp
@@ -58,7 +58,7 @@
     if (server.coldUntil && now < *server.coldUntil)
         this->coldBudgets[server.key].tokens -= 1;
     this->viewOf(server.key).started(objectOf(wanted), now);
-    this->regionPace.sent(poolOf(wanted.classEntry()), server.region, now);
+    this->shiftLimit.sent(poolOf(wanted.classEntry()), server.region, now);
     this->lastBasis = best->basis;
     return best->index;
 }
@@ -97,16 +97,16 @@
     if (!cheapest)
         return std::nullopt;
     // Requests that wait are late wherever they run, so they say nothing about where there is room.
-    const std::optional<core::RegionIndex> wished = cheapestRegion(choices, [](const Candidate& candidate) { return candidate.hasRoom; });
-    if (wanted.newcomer && wished)
-        this->regionPace.wish(pool, *wished, this->supplyOf(wanted, now).startShares, now);
-    if (const std::optional<core::RegionIndex> behind = this->regionPace.behind(pool, now); behind && choices[behind->value]) {
+    const std::optional<core::RegionIndex> preferred = cheapestRegion(choices, [](const Candidate& candidate) { return candidate.hasRoom; });
+    if (wanted.newcomer && preferred)
+        this->shiftLimit.prefer(pool, *preferred, this->supplyOf(wanted, now).startShares, now);
+    if (const std::optional<core::RegionIndex> behind = this->shiftLimit.behind(pool, now); behind && choices[behind->value]) {
         const Candidate& candidate = *choices[behind->value];
         if (candidate.inTime && candidate.hasRoom)
             return candidate;
     }
     const std::optional<core::RegionIndex> allowed = cheapestRegion(choices, [&](const Candidate& candidate) {
-        return this->regionPace.allows(pool, wanted.table.at(candidate.index).region, now);
+        return this->shiftLimit.allows(pool, wanted.table.at(candidate.index).region, now);
     });
     return choices[allowed.value_or(*cheapest).value];
 }
@@ -127,7 +127,7 @@
     const bool known = supply.slots.size() == slots.size();
     for (std::size_t i = 0; known && i < slots.size(); ++i) {
         if (std::abs(slots[i] - supply.slots[i]) > this->options.supplyChange * std::max(slots[i], supply.slots[i]))
-            this->regionPace.release(pool, now);
+            this->shiftLimit.release(pool, now);
     }
     supply = { .generation = table.generation, .slots = slots, .startShares = startShares(slots, table.at(table.self).region) };
     return supply;
@@ -213,30 +213,30 @@
     const double others = view.others(now);
     const double occupied = server.inFlight->inFlight() + others;
     const double ahead = std::max(0.0, occupied + 1 - server.slots);
-    const core::Duration way = this->way(wanted.table, server);
+    const core::Duration roundTrip = this->roundTrip(wanted.table, server);
     const core::Duration wait = scaled(work.warm, ahead / server.slots);
-    core::Duration expected = way + scaled(wait + run, view.pace(now));
-    if (const std::optional<core::TimePoint> silent = view.silentSince(); silent && now - *silent > scaled(way + work.cold, this->options.overdue))
+    core::Duration expected = roundTrip + scaled(wait + run, view.slowdown(now));
+    if (const std::optional<core::TimePoint> silent = view.silentSince(); silent && now - *silent > scaled(roundTrip + work.cold, this->options.overdue))
         expected += now - *silent;
-    const bool inTime = now + expected <= wanted.aim;
+    const bool inTime = now + expected <= wanted.targetAt;
     Candidate candidate { .index = index, .inTime = inTime, .cost = expected + scaled(run, this->options.slotPrice) + this->transferPrice(wanted.table, server, work.bytes) };
     if (!inTime)
         candidate.cost += this->options.latePrice;
     candidate.hasRoom = occupied < (inTime ? server.slots + this->options.queuedAtServer : server.slots - this->options.idleSlot);
     const std::optional<core::TimePoint> reported = view.reportedAt();
-    candidate.basis = { .others = others, .reportAge = reported ? now - *reported : core::Duration {}, .expected = expected, .way = way, .slotFree = ahead < 1, .warm = warm };
+    candidate.basis = { .others = others, .reportAge = reported ? now - *reported : core::Duration {}, .expected = expected, .roundTrip = roundTrip, .slotFree = ahead < 1, .warm = warm };
     return candidate;
 }
 
-core::Duration EarliestAnswer::way(const core::SteeringTable& table, const core::ServerEntry& server) const
+core::Duration EarliestAnswer::roundTrip(const core::SteeringTable& table, const core::ServerEntry& server) const
 {
-    const auto measured = this->ways.find(core::hashBytes(table.at(server.domain).name));
-    if (measured != this->ways.end())
+    const auto measured = this->roundTrips.find(core::hashBytes(table.at(server.domain).name));
+    if (measured != this->roundTrips.end())
         return measured->second;
     const core::MemberEntry& self = table.at(table.self);
     if (server.domain == self.domain)
-        return this->options.nearWay;
-    return server.region == self.region ? this->options.regionWay : this->options.farWay;
+        return this->options.nearRoundTrip;
+    return server.region == self.region ? this->options.regionRoundTrip : this->options.farRoundTrip;
 }
 
 core::Duration EarliestAnswer::transferPrice(const core::SteeringTable& table, const core::ServerEntry& server, double bytes) const
@@ -272,7 +272,7 @@
     ServerView& view = this->viewOf(attempt.serverKey);
     view.ended(attempt.startedAt);
     if (attempt.connectTime) {
-        const auto [place, added] = this->ways.try_emplace(attempt.domainKey, *attempt.connectTime);
+        const auto [place, added] = this->roundTrips.try_emplace(attempt.domainKey, *attempt.connectTime);
         core::Duration& known = place->second;
         if (!added)
             known = std::min(*attempt.connectTime, known + scaled(*attempt.connectTime - known, slowerWayWeight));
@@ -281,8 +281,8 @@
         view.reported(*attempt.load, attempt.ownInFlight + 1, now); // a server counts the request that it answers
     if (attempt.result != core::AttemptResult::Answered)
         return;
-    const core::Duration run = std::max(core::Duration(1), attempt.held - attempt.basis.way);
-    const core::Duration expected = std::max(core::Duration(1), attempt.basis.expected - attempt.basis.way);
+    const core::Duration run = std::max(core::Duration(1), attempt.held - attempt.basis.roundTrip);
+    const core::Duration expected = std::max(core::Duration(1), attempt.basis.expected - attempt.basis.roundTrip);
     view.took(static_cast<double>(run.count()) / static_cast<double>(expected.count()), now);
     if (attempt.basis.slotFree)
         this->times.add(attempt.classKey, attempt.basis.warm, run, attempt.bytes);
--- a/src/request/earliest_answer.h
+++ b/src/request/earliest_answer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "request/choose.h"
-#include "request/region_pace.h"
+#include "request/shift_limit.h"
 #include "request/server_view.h"
 #include "request/work_times.h"
 
@@ -21,12 +21,12 @@
 public:
     struct Options {
         ServerView::Options view {};
-        RegionPace::Options pace {};
+        ShiftLimit::Options shift {};
         double supplyChange = 0.1; // of a region's slots, that counts as a change of its servers
-        // The way to a server and back, until a connection there has been measured.
-        core::Duration nearWay = std::chrono::milliseconds(2); // same failure domain
-        core::Duration regionWay = std::chrono::milliseconds(12); // same region
-        core::Duration farWay = std::chrono::milliseconds(70);
+        // The time to a server and back, until a connection there has been measured.
+        core::Duration nearRoundTrip = std::chrono::milliseconds(2); // same failure domain
+        core::Duration regionRoundTrip = std::chrono::milliseconds(12); // same region
+        core::Duration farRoundTrip = std::chrono::milliseconds(70);
         // What the transfer of an answer costs, as time per kilobyte.
         core::Duration domainTransfer = std::chrono::microseconds(1500);
         core::Duration regionTransfer = std::chrono::microseconds(2500);
@@ -47,7 +47,7 @@
 
     explicit EarliestAnswer(Options chooserOptions)
         : options(chooserOptions)
-        , regionPace(chooserOptions.pace)
+        , shiftLimit(chooserOptions.shift)
     {
     }
 
@@ -92,7 +92,7 @@
     std::optional<Candidate> pick(const Wanted&, const Choices&, core::TimePoint now);
     void consider(const Wanted&, core::ServerIndex, bool preferred, core::TimePoint now, Choices&);
     Candidate assess(const Wanted&, core::ServerIndex, bool preferred, core::TimePoint now);
-    core::Duration way(const core::SteeringTable&, const core::ServerEntry&) const;
+    core::Duration roundTrip(const core::SteeringTable&, const core::ServerEntry&) const;
     core::Duration transferPrice(const core::SteeringTable&, const core::ServerEntry&, double bytes) const;
     bool mayUseCold(const core::ServerEntry&, core::TimePoint now);
     ServerView& viewOf(std::uint64_t serverKey);
@@ -106,9 +106,9 @@
     WorkTimes times;
     std::unordered_map<std::uint64_t, ServerView> views; // by ServerEntry::key
     std::unordered_map<std::uint64_t, ColdBudget> coldBudgets; // likewise
-    std::unordered_map<std::uint64_t, core::Duration> ways; // measured, by hash of the failure domain's name
+    std::unordered_map<std::uint64_t, core::Duration> roundTrips; // measured, by hash of the failure domain's name
     ChoiceBasis lastBasis;
-    RegionPace regionPace;
+    ShiftLimit shiftLimit;
     std::unordered_map<std::uint64_t, Supply> supplies; // by service
     std::uint64_t homesGeneration = 0; // of the table that `homes` belongs to
     std::unordered_map<std::uint64_t, Homes> homes; // by object and class
--- a/src/request/enrol.h
+++ b/src/request/enrol.h
@@ -48,7 +48,7 @@
             request.memory->longestDeadline = std::max(request.memory->longestDeadline, *stated);
             spent = request.memory->longestDeadline - *stated;
         }
-        context.aim = context.arrivedAt + target - spent;
+        context.targetAt = context.arrivedAt + target - spent;
     }
 };
 
--- a/src/request/events.h
+++ b/src/request/events.h
@@ -30,7 +30,7 @@
     std::uint32_t running = 0; // requests of all entry VMs
     std::uint32_t waiting = 0; // in its own queue
     std::uint32_t slots = 0;
-    double pace = 1; // how long work takes at this moment, relative to usual
+    double slowdown = 1; // how long work takes at this moment, relative to usual
 };
 
 // The head of a backend server's answer arrived.
@@ -76,7 +76,7 @@
     double others = 0; // requests of other entry VMs there, as estimated
     core::Duration reportAge {}; // of the newest load report behind the estimate; 0: none
     core::Duration expected {}; // until the answer
-    core::Duration way {}; // to the server and back, of that
+    core::Duration roundTrip {}; // to the server and back, of that
     bool slotFree = false; // the server was expected to run the request at once
     bool warm = false; // the server is taken to have run the request's object recently
 };
--- a/src/request/selected_queue.h
+++ b/src/request/selected_queue.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "request/worth_queue.h"
+#include "request/deadline_queue.h"
 
 #include <variant>
 
@@ -9,7 +9,7 @@
 // How requests wait for a slot.
 enum class QueueKind : std::uint8_t {
     Fair, // classes and callers share the slots equally; newcomers wait their turn
-    Worth, // only requests that are late already wait, for idle slots
+    Deadline, // only requests that are late already wait, for idle slots
 };
 
 // The queue that the options name, without virtual dispatch.
@@ -18,11 +18,11 @@
     struct Options {
         QueueKind kind = QueueKind::Fair;
         WaitQueue::Options fair {};
-        WorthQueue::Options worth {};
+        DeadlineQueue::Options byDeadline {};
     };
 
     explicit SelectedQueue(const Options& options)
-        : queue(options.kind == QueueKind::Fair ? Queues(WaitQueue(options.fair)) : Queues(WorthQueue(options.worth)))
+        : queue(options.kind == QueueKind::Fair ? Queues(WaitQueue(options.fair)) : Queues(DeadlineQueue(options.byDeadline)))
     {
     }
 
@@ -56,7 +56,7 @@
     }
 
 private:
-    using Queues = std::variant<WaitQueue, WorthQueue>;
+    using Queues = std::variant<WaitQueue, DeadlineQueue>;
 
     Queues queue;
 };
@@ -65,5 +65,5 @@
 
 template <>
 struct cranberryshed::core::Names<cranberryshed::request::QueueKind> {
-    static constexpr std::array<std::string_view, 2> values = { "fair", "worth" };
+    static constexpr std::array<std::string_view, 2> values = { "fair", "deadline" };
 };
--- a/src/request/server_view.cpp
+++ b/src/request/server_view.cpp
@@ -41,7 +41,7 @@
     const double all = sample.running + sample.waiting;
     this->lastOthers = std::max(0.0, all - own);
     this->meanOthers += this->options.meanWeight * (this->lastOthers - this->meanOthers);
-    this->lastPace = sample.pace;
+    this->lastSlowdown = sample.slowdown;
     this->lastReport = now;
 }
 
@@ -66,12 +66,12 @@
     return this->meanOthers + (this->lastOthers - this->meanOthers) * remaining(now - *this->lastReport, this->options.loadMemory);
 }
 
-double ServerView::pace(core::TimePoint now) const
+double ServerView::slowdown(core::TimePoint now) const
 {
-    double pace = 1 + std::max(0.0, this->slowness - this->options.usualSpread) * remaining(now - this->slownessAt, this->options.slownessMemory);
+    double slowdown = 1 + std::max(0.0, this->slowness - this->options.usualSpread) * remaining(now - this->slownessAt, this->options.slownessMemory);
     if (this->lastReport)
-        pace = std::max(pace, 1 + (this->lastPace - 1) * remaining(now - *this->lastReport, this->options.paceMemory));
-    return pace;
+        slowdown = std::max(slowdown, 1 + (this->lastSlowdown - 1) * remaining(now - *this->lastReport, this->options.slowdownMemory));
+    return slowdown;
 }
 
 std::optional<core::TimePoint> ServerView::silentSince() const
--- a/src/request/server_view.h
+++ b/src/request/server_view.h
@@ -29,13 +29,13 @@
 // What one traffic thread knows of one backend server from the answers that it got there.
 //
 // Load reports are as old as the last answer, so each figure moves back to its mean with age: other entry VMs'
-// requests within about the time of a request, the pace within the time that a noisy neighbour takes.
+// requests within about the time of a request, the slowdown within the time that a noisy neighbour takes.
 class ServerView {
 public:
     struct Options {
         std::size_t objects = 12; // that a server surely keeps warm, whatever other entry VMs send there
         core::Duration loadMemory = std::chrono::milliseconds(400);
-        core::Duration paceMemory = std::chrono::milliseconds(300);
+        core::Duration slowdownMemory = std::chrono::milliseconds(300);
         core::Duration slownessMemory = std::chrono::seconds(4);
         double meanWeight = 0.15; // of one report in the mean of the others' requests
         double slownessWeight = 0.1; // of one answer in the server's slowness
@@ -64,7 +64,7 @@
     double others(core::TimePoint now) const;
 
     // How long work takes at this moment, relative to usual.
-    double pace(core::TimePoint now) const;
+    double slowdown(core::TimePoint now) const;
 
     bool isWarm(std::uint64_t object) const { return this->recent.contains(object); }
     std::optional<core::TimePoint> reportedAt() const { return this->lastReport; }
@@ -79,7 +79,7 @@
     std::optional<core::TimePoint> lastReport;
     double lastOthers = 0;
     double meanOthers = 0;
-    double lastPace = 1;
+    double lastSlowdown = 1;
     double slowness = 1;
     core::TimePoint slownessAt {};
     std::list<core::TimePoint> running; // starts of attempts
--- a/src/request/region_pace.cpp
+++ b/src/request/shift_limit.cpp
@@ -1,4 +1,4 @@
-#include "request/region_pace.h"
+#include "request/shift_limit.h"
 
 #include <algorithm>
 #include <cmath>
@@ -14,7 +14,7 @@
 
 }
 
-void RegionPace::advance(Service& service, core::TimePoint now) const
+void ShiftLimit::advance(Service& service, core::TimePoint now) const
 {
     const double passed = std::clamp(seconds(now - service.updatedAt), 0.0, seconds(this->options.window));
     service.updatedAt = now;
@@ -27,38 +27,38 @@
         if (released && service.total > 0)
             service.reference[i] = service.counted[i] / service.total;
         else
-            service.reference[i] += std::clamp(service.wished[i] - service.reference[i], -step, step);
+            service.reference[i] += std::clamp(service.preferred[i] - service.reference[i], -step, step);
     }
 }
 
-void RegionPace::wish(std::uint64_t serviceKey, core::RegionIndex region, const std::vector<double>& initial, core::TimePoint now)
+void ShiftLimit::prefer(std::uint64_t serviceKey, core::RegionIndex region, const std::vector<double>& initial, core::TimePoint now)
 {
     const auto [place, added] = this->services.try_emplace(serviceKey);
     Service& service = place->second;
     if (added || service.reference.size() != initial.size())
-        service = { .reference = initial, .wished = initial, .counted = std::vector<double>(initial.size(), 0), .total = 0, .updatedAt = now };
+        service = { .reference = initial, .preferred = initial, .counted = std::vector<double>(initial.size(), 0), .total = 0, .updatedAt = now };
     this->advance(service, now);
-    // One request's weight in an average over the wishes of the memory's time.
+    // One request's weight in an average over the preferences of the memory's time.
     const double rate = std::max(1.0, service.total / seconds(this->options.window));
-    const double weight = std::min(1.0, 1 / (rate * seconds(this->options.wishMemory)));
-    for (std::size_t i = 0; i < service.wished.size(); ++i)
-        service.wished[i] += weight * ((i == region.value ? 1.0 : 0.0) - service.wished[i]);
+    const double weight = std::min(1.0, 1 / (rate * seconds(this->options.preferenceMemory)));
+    for (std::size_t i = 0; i < service.preferred.size(); ++i)
+        service.preferred[i] += weight * ((i == region.value ? 1.0 : 0.0) - service.preferred[i]);
 }
 
-void RegionPace::release(std::uint64_t service, core::TimePoint now)
+void ShiftLimit::release(std::uint64_t service, core::TimePoint now)
 {
     if (const auto found = this->services.find(service); found != this->services.end())
         found->second.releasedUntil = now + this->options.release;
 }
 
-const RegionPace::Service* RegionPace::find(std::uint64_t service, core::TimePoint now) const
+const ShiftLimit::Service* ShiftLimit::find(std::uint64_t service, core::TimePoint now) const
 {
     const auto found = this->services.find(service);
     const bool binds = found != this->services.end() && found->second.total >= this->options.fewestRequests && now >= found->second.releasedUntil;
     return binds ? &found->second : nullptr;
 }
 
-bool RegionPace::allows(std::uint64_t serviceKey, core::RegionIndex region, core::TimePoint now) const
+bool ShiftLimit::allows(std::uint64_t serviceKey, core::RegionIndex region, core::TimePoint now) const
 {
     const Service* service = this->find(serviceKey, now);
     if (!service)
@@ -66,7 +66,7 @@
     return (service->counted[region.value] + 1) / (service->total + 1) <= service->reference[region.value] + this->options.slack;
 }
 
-std::optional<core::RegionIndex> RegionPace::behind(std::uint64_t serviceKey, core::TimePoint now) const
+std::optional<core::RegionIndex> ShiftLimit::behind(std::uint64_t serviceKey, core::TimePoint now) const
 {
     const Service* service = this->find(serviceKey, now);
     if (!service)
@@ -83,7 +83,7 @@
     return furthest;
 }
 
-void RegionPace::sent(std::uint64_t serviceKey, core::RegionIndex region, core::TimePoint now)
+void ShiftLimit::sent(std::uint64_t serviceKey, core::RegionIndex region, core::TimePoint now)
 {
     const auto found = this->services.find(serviceKey);
     if (found == this->services.end())
--- a/src/request/region_pace.h
+++ b/src/request/shift_limit.h
@@ -13,24 +13,24 @@
 // A choice by expected time alone follows every change of load at once: a region that is full for a moment sends half
 // of its work away and takes it back two seconds later, which upsets the other regions' servers. So each service has
 // reference shares that follow what the choices want in bounded steps, and the requests of a window keep to them.
-class RegionPace {
+class ShiftLimit {
 public:
     struct Options {
         core::Duration window = std::chrono::seconds(1); // over which shares are counted
         double slack = 0.04; // that a window's share may differ from its reference
         double stepPerSecond = 0.05; // of a reference
-        core::Duration wishMemory = std::chrono::seconds(1); // over which the choices' wishes are averaged
+        core::Duration preferenceMemory = std::chrono::seconds(1); // over which the choices' preferences are averaged
         core::Duration release = std::chrono::seconds(6); // after a change of the servers
         double fewestRequests = 8; // in a window, before which shares mean nothing
     };
 
-    explicit RegionPace(Options paceOptions)
-        : options(paceOptions)
+    explicit ShiftLimit(Options limitOptions)
+        : options(limitOptions)
     {
     }
 
     // The region that a choice prefers for a request of this service. `initial`: the shares to start from.
-    void wish(std::uint64_t service, core::RegionIndex region, const std::vector<double>& initial, core::TimePoint now);
+    void prefer(std::uint64_t service, core::RegionIndex region, const std::vector<double>& initial, core::TimePoint now);
 
     // The service's servers have changed: for a while the shares may change at once.
     void release(std::uint64_t service, core::TimePoint now);
@@ -47,7 +47,7 @@
 private:
     struct Service {
         std::vector<double> reference; // by RegionIndex, sums to 1
-        std::vector<double> wished; // likewise, moving average
+        std::vector<double> preferred; // likewise, moving average
         std::vector<double> counted; // requests sent, decayed over the window
         double total = 0;
         core::TimePoint updatedAt {};
--- a/src/wire/event_log.h
+++ b/src/wire/event_log.h
@@ -49,7 +49,6 @@
     ExpectedMs, // until the answer, when it was sent
     Warm, // 1: the server is taken to have run the request's object recently
     AgeMs, // of the newest load report that went into the decision
-    Waiting, // requests that wait in this entry VM
     RetryAfterMs,
     Version, // of the configuration in force
     Table, // generation of the steering table
@@ -66,7 +65,7 @@
 
 template <>
 struct cranberryshed::core::Names<cranberryshed::wire::LogField> {
-    static constexpr std::array<std::string_view, 25> values = { "request", "class", "object", "server", "domain", "member", "state", "result", "status", "error", "attempt", "elapsedMs", "leftMs", "waitedMs", "inFlight", "others", "expectedMs", "warm", "ageMs", "waiting", "retryAfterMs", "version", "table", "reason", "dropped" };
+    static constexpr std::array<std::string_view, 24> values = { "request", "class", "object", "server", "domain", "member", "state", "result", "status", "error", "attempt", "elapsedMs", "leftMs", "waitedMs", "inFlight", "others", "expectedMs", "warm", "ageMs", "retryAfterMs", "version", "table", "reason", "dropped" };
 };
 
 namespace cranberryshed::wire {
--- a/src/wire/session_impl.h
+++ b/src/wire/session_impl.h
@@ -36,6 +36,7 @@
 template <Dialect DialectType>
 class Session : public std::enable_shared_from_this<Session<DialectType>> {
 public:
+    // The connection has been counted in the worker's connection limit.
     Session(Worker& owner, Socket socket, const asio::ip::address& callerIp)
         : worker(owner)
         , stream(std::move(socket))
@@ -346,11 +347,15 @@
     bool watching = false; // an async_wait for the caller's socket is outstanding
 };
 
-// Serves the requests of one caller connection until either side closes it. The connection is counted in the
-// worker's connection limit for this address and is taken out when it ends.
+// Serves the requests of one caller connection until either side closes it, or refuses the connection if its address
+// has as many as the worker's connection limit allows.
 template <Dialect DialectType>
 void serveConnection(Worker& worker, Socket socket, const asio::ip::address& caller)
 {
+    if (!worker.connectionLimit().tryOpen(caller)) {
+        asio::co_spawn(worker.executor(), refuseConnection(std::move(socket)), asio::detached);
+        return;
+    }
     const auto session = std::make_shared<Session<DialectType>>(worker, std::move(socket), caller);
     asio::co_spawn(
         worker.executor(), [session]() -> Task<void> { co_await session->run(); }, asio::detached);
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -222,22 +222,12 @@
             continue;
         }
         ++this->trafficMetrics.connections;
-        this->admit(std::move(socket), serve);
+        const asio::ip::address caller = socket.remote_endpoint(error).address();
+        if (!error)
+            serve(*this, std::move(socket), caller);
     }
 }
 
-void Worker::admit(Socket socket, const Serve& serve)
-{
-    error_code error;
-    const asio::ip::address address = socket.remote_endpoint(error).address();
-    if (error)
-        return;
-    if (this->options.connectionLimit->tryOpen(address))
-        serve(*this, std::move(socket), address);
-    else
-        asio::co_spawn(*this->context, refuseConnection(std::move(socket)), asio::detached);
-}
-
 Task<void> Worker::closeIdleLoop()
 {
     Timer timer(this->executor());
--- a/src/wire/worker.h
+++ b/src/wire/worker.h
@@ -87,7 +87,6 @@
 private:
     Task<void> acceptLoop(std::shared_ptr<Acceptor>, Serve);
     Task<void> closeIdleLoop();
-    void admit(Socket, const Serve&);
 
     void execute(const request::SendAttempt&);
     void execute(const request::CancelAttempt&);
--- a/tests/io/event_log.cpp
+++ b/tests/io/event_log.cpp
@@ -50,7 +50,7 @@
 
 void logRefusal(std::string_view request)
 {
-    wire::logEvent(wire::LogEvent::Refused, { { wire::LogField::Request, request }, { wire::LogField::Waiting, std::int64_t { 3 } } });
+    wire::logEvent(wire::LogEvent::Refused, { { wire::LogField::Request, request }, { wire::LogField::InFlight, std::int64_t { 3 } } });
 }
 
 }
@@ -65,7 +65,7 @@
     const boost::json::object line = boost::json::parse(text).as_object();
     CHECK(line.at("event") == "refused");
     CHECK(line.at("request") == "a\"b");
-    CHECK(line.at("waiting") == 3);
+    CHECK(line.at("inFlight") == 3);
 }
 
 // Guards against a log that grows with the load, and against lines that are left out without a trace.
--- a/tests/io/platform.cpp
+++ b/tests/io/platform.cpp
@@ -174,8 +174,8 @@
     CHECK(load->running == 3);
     CHECK(load->waiting == 2);
     CHECK(load->slots == 8);
-    CHECK(load->pace == 2.5);
-    CHECK(platform::Dialect::load(answer(200, { { "Server-Load", "3,0,8" } }))->pace == 1);
+    CHECK(load->slowdown == 2.5);
+    CHECK(platform::Dialect::load(answer(200, { { "Server-Load", "3,0,8" } }))->slowdown == 1);
     CHECK_FALSE(platform::Dialect::load(answer(200, { { "Server-Load", "many" } })));
     CHECK_FALSE(platform::Dialect::load(answer(200, {})));
 }
--- a/tests/pure/worth_queue.cpp
+++ b/tests/pure/deadline_queue.cpp
@@ -1,4 +1,4 @@
-#include "request/worth_queue.h"
+#include "request/deadline_queue.h"
 
 #include "request/retry_allowance.h"
 #include "rig/one_engine.h"
@@ -17,9 +17,9 @@
     return { .request = core::RequestId { id }, .pool = 1, .classKey = 1, .arrival = start, .deadline = start + deadline, .serviceTime = 100ms, .priority = priority };
 }
 
-request::WorthQueue makeQueue()
+request::DeadlineQueue makeQueue()
 {
-    return request::WorthQueue(request::WorthQueue::Options {});
+    return request::DeadlineQueue(request::DeadlineQueue::Options {});
 }
 
 }
@@ -27,7 +27,7 @@
 // Guards against urgent work behind less urgent work.
 TEST_CASE("the more urgent class goes first, then the earliest deadline", "[worth-queue]")
 {
-    request::WorthQueue queue = makeQueue();
+    request::DeadlineQueue queue = makeQueue();
     queue.offer(waiting(1, 2s, 2), 1, start);
     queue.offer(waiting(2, 3s, 1), 1, start);
     queue.offer(waiting(3, 2s, 1), 1, start);
@@ -41,7 +41,7 @@
 // it was clear when they came that there would be no slot.
 TEST_CASE("what can't be served is refused when it arrives, with a time to come back", "[worth-queue]")
 {
-    request::WorthQueue queue = makeQueue();
+    request::DeadlineQueue queue = makeQueue();
     std::size_t refused = 0;
     for (std::uint64_t id = 1; id <= 100; ++id) {
         const request::Offer offer = queue.offer(waiting(id, 2s), 1, start);
@@ -56,7 +56,7 @@
 // Guards against holding a request that can no longer be finished.
 TEST_CASE("a request is given up as soon as its run no longer fits", "[worth-queue]")
 {
-    request::WorthQueue queue = makeQueue();
+    request::DeadlineQueue queue = makeQueue();
     REQUIRE_FALSE(queue.offer(waiting(1, 500ms), 1, start).refusal);
     CHECK(queue.expire(start + 399ms).empty());
     CHECK(queue.expire(start + 401ms).size() == 1);
@@ -66,7 +66,7 @@
 // Guards against a blocked request that keeps the others from free slots.
 TEST_CASE("a request whose server is full does not hold up the others", "[worth-queue]")
 {
-    request::WorthQueue queue = makeQueue();
+    request::DeadlineQueue queue = makeQueue();
     queue.offer(waiting(1, 1s), 1, start);
     queue.offer(waiting(2, 2s), 1, start);
     const auto next = queue.next(start, [](const request::WaitingRequest& request) { return request.request == core::RequestId { 2 }; });
--- a/tests/pure/earliest_answer.cpp
+++ b/tests/pure/earliest_answer.cpp
@@ -36,7 +36,7 @@
 
 request::Wanted wantedOf(const core::SteeringTable& table, std::uint64_t object, core::TimePoint now)
 {
-    return { .table = table, .classIndex = { 0 }, .affinity = object, .arrival = now, .aim = now + 400ms, .deadline = now + 2s };
+    return { .table = table, .classIndex = { 0 }, .affinity = object, .targetAt = now + 400ms };
 }
 
 // Chooses and ends requests, and remembers which server each object ran at.
@@ -119,7 +119,7 @@
     for (std::uint32_t i = 0; i < 3; ++i)
         REQUIRE(driver.start(1) == home);
     request::Wanted late = wantedOf(*driver.table, 1, driver.now);
-    late.aim = driver.now - 1ms;
+    late.targetAt = driver.now - 1ms;
     const std::optional<core::ServerIndex> server = driver.chooser.choose(late, driver.random, driver.now);
     CHECK((!server || *server != home));
 }
@@ -216,7 +216,7 @@
         for (std::uint64_t object = 100; object < 110; ++object) {
             request::Wanted waiting = wantedOf(*driver.table, object, driver.now);
             waiting.newcomer = false;
-            waiting.aim = driver.now - 1s;
+            waiting.targetAt = driver.now - 1s;
             if (const std::optional<core::ServerIndex> server = driver.chooser.choose(waiting, driver.random, driver.now))
                 driver.table->at(*server).inFlight->release();
         }
@@ -230,23 +230,23 @@
 }
 
 // Guards against work that swings between regions: the share that runs elsewhere must not jump within a window.
-TEST_CASE("a region's share of the requests changes in bounded steps", "[region-pace]")
+TEST_CASE("a region's share of the requests changes in bounded steps", "[shift-limit]")
 {
-    request::RegionPace pace { {} };
+    request::ShiftLimit limit { {} };
     constexpr std::uint64_t service = 1;
     constexpr double largestShift = 0.15; // of a region's requests, from one window of 2 s to the next
     constexpr core::RegionIndex near { 0 };
     constexpr core::RegionIndex far { 1 };
     const std::vector<double> bounds { 1, 0 };
     core::TimePoint now { 1h };
-    const auto farShare = [&](int requests, core::RegionIndex wished) {
+    const auto farShare = [&](int requests, core::RegionIndex preferred) {
         int sentFar = 0;
         for (int i = 0; i < requests; ++i) {
             now += 20ms;
-            pace.wish(service, wished, bounds, now);
-            const core::RegionIndex chosen = pace.allows(service, wished, now) ? wished : wished == near ? far
+            limit.prefer(service, preferred, bounds, now);
+            const core::RegionIndex chosen = limit.allows(service, preferred, now) ? preferred : preferred == near ? far
                                                                                                          : near;
-            pace.sent(service, chosen, now);
+            limit.sent(service, chosen, now);
             sentFar += chosen == far ? 1 : 0;
         }
         return static_cast<double>(sentFar) / requests;
@@ -262,6 +262,6 @@
     CHECK(largestStep < largestShift);
     CHECK(previous > 0.5);
     // After a change of the servers the shares may change at once.
-    pace.release(service, now);
+    limit.release(service, now);
     CHECK(farShare(100, near) == 0);
 }
