--- a/bench/decisions/platform.cpp
+++ b/bench/decisions/platform.cpp
@@ -3,8 +3,8 @@
 #include "decisions/bench.h"
 #include "declare/load.h"
 #include "declare/print.h"
-#include "store/http_client.h"
-#include "store/standin.h"
+#include "platform/store_api.h"
+#include "platform/standin.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -48,9 +48,9 @@
         }
 
         boost::asio::io_context context;
-        store::StandIn standIn;
+        platform::StandIn standIn;
         store::HttpTransport transport;
-        store::HttpClient client;
+        platform::OwnStoreClient client;
     };
 
     core::Object object(const std::string& kind, unsigned number, std::string content)
@@ -89,7 +89,7 @@
 void platformCalls(Report& report, std::uint64_t seed)
 {
     Bench bench(seed);
-    store::HttpClient& client = bench.client;
+    platform::OwnStoreClient& client = bench.client;
     std::string small = R"({"nearestDomains":["jyl-1","jyl-2"]})";
     report.add(rateLine("put, 1 at a time", bench.perSecond(1, 5'000, [&](unsigned i) { return client.put(object("site", i, small), 0); }), platformWrites));
     report.add(rateLine("put, 16 at a time", bench.perSecond(16, 10'000, [&](unsigned i) { return client.put(object("batch", i, small), 0); }), platformWrites));
--- a/src/admin/access.h
+++ b/src/admin/access.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "admin/context.h"
-#include "store/http_client.h"
+#include "platform/store_api.h"
 
 #include <boost/asio/io_context.hpp>
 #include <map>
@@ -31,7 +31,7 @@
 
     boost::asio::io_context context;
     store::HttpTransport transport;
-    store::HttpClient client;
+    platform::OwnStoreClient client;
 };
 
 }
--- a/src/admin/commands.cpp
+++ b/src/admin/commands.cpp
@@ -5,10 +5,13 @@
 #include "admin/status.h"
 #include "admin/wait.h"
 #include "declare/text.h"
-#include "store/http_codec.h"
+
+#include <boost/json.hpp>
 
 namespace cranberryshed::admin {
 
+namespace json = boost::json;
+
 namespace {
 
     core::TimePoint steadyNow()
@@ -33,6 +36,22 @@
             throw core::Error(core::ErrorKind::BadUsage, "name at least one file or directory");
     }
 
+    // An object with its mark as one line of JSON. The content is JSON text already, so it is placed there as it is.
+    std::string jsonText(const store::StoredObject& stored)
+    {
+        const core::Object& object = stored.object;
+        const std::string fields = json::serialize(json::object {
+            { "kind", object.kind },
+            { "name", object.name },
+            { "revision", object.version.revision },
+            { "version", object.version.version },
+            { "deleted", object.deleted },
+            { "writer", stored.mark.writer },
+            { "nonce", stored.mark.nonce },
+        });
+        return fields.substr(0, fields.size() - 1) + R"(,"content":)" + (object.content.empty() ? "null" : object.content) + '}';
+    }
+
     // The objects that `get` asks for, without deleted ones.
     std::vector<store::StoredObject> read(Access& access, const Options& options)
     {
@@ -95,7 +114,7 @@
         for (const store::StoredObject& stored : read(access, options)) {
             const core::Object& object = stored.object;
             if (options.output == OutputForm::Json)
-                lines.push_back(store::encodeObject(stored));
+                lines.push_back(jsonText(stored));
             else
                 lines.push_back(object.kind + '/' + object.name + " revision " + std::to_string(object.version.revision) + " version " + std::to_string(object.version.version) + ' ' + object.content);
         }
--- a/src/app/status_writer.h
+++ b/src/app/status_writer.h
@@ -2,7 +2,7 @@
 
 #include "control/sources.h"
 #include "declare/status.h"
-#include "store/http_client.h"
+#include "platform/store_api.h"
 #include "store/lease.h"
 #include "wire/asio.h"
 
@@ -24,7 +24,7 @@
     // Returns nothing while there is nothing to report yet.
     using Measure = std::function<std::optional<declare::Status>()>;
 
-    StatusWriter(wire::asio::io_context&, store::HttpClient&, Options, Measure);
+    StatusWriter(wire::asio::io_context&, platform::OwnStoreClient&, Options, Measure);
 
     // Competes for the lease from now on, or stops to.
     void setCompeting(bool);
@@ -37,7 +37,7 @@
     wire::asio::awaitable<void> writeStatus();
 
     wire::asio::io_context& context;
-    store::HttpClient& client;
+    platform::OwnStoreClient& client;
     Options options;
     Measure measure;
     store::Lease lease;
--- a/src/app/store_sync.cpp
+++ b/src/app/store_sync.cpp
@@ -74,7 +74,7 @@
     asio::steady_timer timer(this->context);
     while (*active) {
         try {
-            const core::ServerList list = co_await this->httpClient.vms();
+            const core::ServerList list = co_await this->httpClient.servers();
             if (*active)
                 this->takeServers(list);
         } catch (const core::Error& error) {
--- a/src/app/store_sync.h
+++ b/src/app/store_sync.h
@@ -2,7 +2,7 @@
 
 #include "core/declarations.h"
 #include "core/object.h"
-#include "store/http_client.h"
+#include "platform/store_api.h"
 #include "store/http_transport.h"
 #include "wire/asio.h"
 
@@ -36,7 +36,7 @@
 
     bool isWatching() const { return static_cast<bool>(this->activeFlag); }
     bool storeIsUp() const { return this->up; }
-    store::HttpClient& client() { return this->httpClient; }
+    platform::OwnStoreClient& client() { return this->httpClient; }
     void stop();
 
 private:
@@ -47,7 +47,7 @@
     TakeObject takeObject;
     TakeServers takeServers;
     store::HttpTransport transport;
-    store::HttpClient httpClient;
+    platform::OwnStoreClient httpClient;
     std::shared_ptr<wire::asio::cancellation_signal> cancelFollow;
     std::shared_ptr<bool> activeFlag;
     bool up = false;
--- /dev/null
+++ b/src/store/api.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "store/store.h"
+#include "store/transport.h"
+
+namespace cranberryshed::store {
+
+// Statuses of the store's answers.
+constexpr unsigned httpOk = 200;
+constexpr unsigned httpCreated = 201;
+constexpr unsigned httpBadRequest = 400;
+constexpr unsigned httpNotFound = 404;
+constexpr unsigned httpConflict = 409;
+constexpr unsigned httpGone = 410;
+constexpr unsigned httpTooLarge = 413;
+constexpr unsigned httpTooManyRequests = 429;
+constexpr unsigned httpServerError = 500;
+constexpr unsigned httpUnavailable = 503;
+
+// A part of the objects of a kind.
+struct ObjectPage {
+    ObjectBatch batch;
+    std::string next; // continue after this name; empty: nothing follows
+};
+
+// How calls to the store are written and its answers read. Readers throw core::Error (BadMessage).
+template <typename Candidate>
+concept Api = requires(const std::string& kind, const std::string& name, const std::string& text, std::uint64_t from, core::Duration wait)
+{
+    // Objects of a kind whose names follow `name`.
+    {
+        Candidate::listCall(kind, name)
+        } -> std::same_as<HttpRequest>;
+    {
+        Candidate::readPage(text, kind)
+        } -> std::same_as<ObjectPage>;
+    // Changes after a version of the store.
+    {
+        Candidate::watchCall(kind, from, wait)
+        } -> std::same_as<HttpRequest>;
+    {
+        Candidate::readChanges(text, kind)
+        } -> std::same_as<ObjectBatch>;
+    // An object that must not exist yet. `text` is its content.
+    {
+        Candidate::createCall(kind, name, text)
+        } -> std::same_as<HttpRequest>;
+};
+
+// An API whose objects carry the mark of the write that made them.
+template <typename Candidate>
+concept MarkedApi = Api<Candidate> && requires(const std::string& kind, const std::string& name, const std::string& text, const StoredObject& stored, std::uint64_t version)
+{
+    {
+        Candidate::getCall(kind, name)
+        } -> std::same_as<HttpRequest>;
+    // Replaces the object if the store's version of it is this one; 0: creates it.
+    {
+        Candidate::putCall(stored, version)
+        } -> std::same_as<HttpRequest>;
+    {
+        Candidate::readObject(text)
+        } -> std::same_as<StoredObject>;
+    // The list of backend servers, as JSON text.
+    {
+        Candidate::serverListCall()
+        } -> std::same_as<HttpRequest>;
+    {
+        Candidate::readServerList(text)
+        } -> std::same_as<std::string>;
+};
+
+}
--- a/src/store/http_client.h
+++ b/src/store/client.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/declarations.h"
+#include "store/api.h"
 #include "store/http_transport.h"
 #include "store/policy.h"
-#include "store/transport.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
@@ -16,54 +16,61 @@
     std::string writer; // id of this process, unique per start
     std::uint64_t seed = 0; // of delays and nonces
     core::Duration callDeadline = std::chrono::seconds(2); // of one attempt
-    core::Duration totalDeadline = std::chrono::seconds(10); // of a call with all its attempts
+    core::Duration totalDeadline = std::chrono::seconds(10); // of a call with all its attempts; zero: one attempt
+    core::Duration watchGrace = std::chrono::seconds(2); // how long a watch may be late beyond its own waiting time
     BackoffOptions backoff;
     RateOptions rate;
     BreakerOptions breaker;
 };
 
-// Calls of the object API, with deadlines, repeated attempts, rate limit and circuit breaker. All use must be on
-// one thread; several calls may be under way at the same time.
+// Calls to the store, with deadlines, repeated attempts, rate limit and circuit breaker. All use must be on one
+// thread; several calls may be under way at the same time.
 //
 // Each call throws core::Error: StoreUnavailable if the store does not answer (a write then had no effect),
 // BadMessage for an answer or a request that can't be understood.
-template <Transport TransportType>
+template <Transport TransportType, Api ApiType>
 class Client {
 public:
     // The transport must outlive the client, and the client its calls.
     Client(TransportType& transport, ClientOptions options);
 
-    // Returns the object, or one that is marked as deleted and has no mark if the store has none.
-    boost::asio::awaitable<StoredObject> get(std::string kind, std::string name);
-
-    // All objects of a kind. Deletions are listed as deleted objects.
+    // All objects of a kind. The version is that of the first part, so a watch from there misses nothing.
     boost::asio::awaitable<ObjectBatch> list(std::string kind);
 
-    // Writes the object with its revision if the store's version of it is `ifVersion` (0: it must not exist).
-    // Also throws WriteUnclear if the write may or may not have taken effect.
-    boost::asio::awaitable<WriteResult> put(core::Object object, std::uint64_t ifVersion);
-    boost::asio::awaitable<WriteResult> remove(core::Object object, std::uint64_t ifVersion);
-
     // Waits at most `wait` for changes after version `from`; an empty batch if there was none. One attempt only.
     // Also throws HistoryGone.
-    boost::asio::awaitable<ObjectBatch> watch(std::uint64_t from, core::Duration wait);
+    boost::asio::awaitable<ObjectBatch> watch(std::string kind, std::uint64_t from, core::Duration wait);
+
+    // Creates an object. Returns whether it did: not if the object exists. One attempt only.
+    boost::asio::awaitable<bool> create(std::string kind, std::string name, std::string content);
 
-    // The platform's list of VMs. It lags.
-    boost::asio::awaitable<core::ServerList> vms();
+    // Returns the object, or one that is marked as deleted and has no mark if the store has none.
+    boost::asio::awaitable<StoredObject> get(std::string kind, std::string name) requires MarkedApi<ApiType>;
+
+    // Writes the object with its revision if the store's version of it is `ifVersion` (0: it must not exist).
+    // Also throws WriteUnclear if the write may or may not have taken effect.
+    boost::asio::awaitable<WriteResult> put(core::Object object, std::uint64_t ifVersion) requires MarkedApi<ApiType>;
+    // Replaces the object by a note of its deletion, under the same condition.
+    boost::asio::awaitable<WriteResult> remove(core::Object object, std::uint64_t ifVersion) requires MarkedApi<ApiType>;
+
+    // The list of backend servers. It lags.
+    boost::asio::awaitable<core::ServerList> servers() requires MarkedApi<ApiType>;
 
     // Follows the objects of the kinds for good: hands over what is newer than anything seen before, first from
     // lists, then from watches. Takes up again after failures and lost history. Ends only by cancellation.
     // `up` is told whether the store answers, when that changes.
-    boost::asio::awaitable<void> follow(std::vector<std::string> kinds, std::function<void(std::vector<core::Object>)> take, std::function<void(bool)> up = {});
+    boost::asio::awaitable<void> follow(std::vector<std::string> kinds, std::function<void(std::vector<core::Object>)> take, std::function<void(bool)> up = {}) requires MarkedApi<ApiType>;
 
+    // Whether a call would be sent now. While the store is down only one call at a time is, at growing intervals.
+    bool isReady(core::TimePoint now) const { return this->breaker.wouldAllow(now); }
     bool storeIsDown() const { return this->breaker.isOpen(); }
     core::TimePoint now() const { return this->transport.now(); }
 
 private:
     boost::asio::awaitable<HttpReply> attempt(HttpRequest request, core::Duration deadline);
-    boost::asio::awaitable<HttpReply> read(std::string target);
-    boost::asio::awaitable<WriteResult> write(HttpRequest request, std::string readTarget, WriteMark mark, std::uint64_t ifVersion);
-    boost::asio::awaitable<std::vector<core::Object>> step(FollowPosition& position, std::span<const std::string> kinds);
+    boost::asio::awaitable<HttpReply> read(HttpRequest request);
+    boost::asio::awaitable<WriteResult> write(StoredObject stored, std::uint64_t ifVersion) requires MarkedApi<ApiType>;
+    boost::asio::awaitable<std::vector<core::Object>> step(FollowPosition& position, std::span<const std::string> kinds) requires MarkedApi<ApiType>;
     WriteMark nextMark();
 
     TransportType& transport;
@@ -74,9 +81,4 @@
     SeenVersions followed;
 };
 
-using HttpClient = Client<HttpTransport>;
-
-// Compiled once, in http_client.cpp.
-extern template class Client<HttpTransport>;
-
 }
--- a/src/store/http_transport.cpp
+++ b/src/store/http_transport.cpp
@@ -22,8 +22,11 @@
     // An idle connection older than this may have been closed by the store just now. A write on it could get lost.
     constexpr core::Duration longestIdle = std::chrono::seconds(5);
     constexpr std::size_t mostIdle = 8;
+    // A lost first packet is sent again after 1, 3, 7 and 15 s, so an attempt from the time of a partition would end long
+    // after the partition.
+    constexpr core::Duration connectLimit = std::chrono::seconds(1);
     constexpr core::Duration silenceLimit = std::chrono::seconds(2); // of a connection on which the store owes something
-    // Lists and watches are cut into parts of about 4 MiB by the store.
+    // Lists and watches are cut into parts of about 1 MB by the store, and objects may be that large.
     constexpr std::uint64_t largestReply = 16 * 1024 * 1024;
 
     http::verb verbOf(Verb verb)
@@ -103,7 +106,7 @@
 {
     auto connection = std::make_shared<Connection>(this->context);
     boost::system::error_code error;
-    connection->stream.expires_at(deadline);
+    connection->stream.expires_at(std::min(deadline, this->now() + connectLimit));
     co_await connection->stream.async_connect(this->endpoint, asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return nullptr;
--- a/src/store/policy.cpp
+++ b/src/store/policy.cpp
@@ -48,11 +48,9 @@
 
 bool CircuitBreaker::allows(core::TimePoint now)
 {
-    if (!this->openUntil)
-        return true;
-    if (this->probing || now < *this->openUntil)
+    if (!this->wouldAllow(now))
         return false;
-    this->probing = true;
+    this->probing = this->openUntil.has_value();
     return true;
 }
 
--- a/src/store/policy.h
+++ b/src/store/policy.h
@@ -12,7 +12,7 @@
 
 namespace cranberryshed::store {
 
-// Rules for calls to the store as pure logic. The client (http_client.h) asks them; they do no I/O.
+// Rules for calls to the store as pure logic. The client (client.h) asks them; they do no I/O.
 
 struct BackoffOptions {
     core::Duration first = std::chrono::milliseconds(100);
@@ -76,6 +76,8 @@
 
     // Whether a call may be sent now. While open, `true` makes the caller the probe.
     bool allows(core::TimePoint now);
+    // The same without becoming the probe.
+    bool wouldAllow(core::TimePoint now) const { return !this->openUntil || (!this->probing && now >= *this->openUntil); }
     void succeeded();
     void failed(core::TimePoint now, core::RandomEngine& random);
     // Ends a call that was allowed but says nothing about the store, such as one that was cancelled.
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -8,8 +8,8 @@
 
 namespace cranberryshed::store {
 
-// The largest content of one object that the store accepts.
-constexpr std::size_t largestContentBytes = 1024 * 1024;
+// The largest content of one object: what the store accepts for a value, less room for the object's other fields.
+constexpr std::size_t largestContentBytes = 1024 * 1024 - 4096;
 
 // Identifies one write. The writer's id alone is not enough: an earlier write of the same process may be
 // what the store holds.
@@ -32,6 +32,16 @@
     std::vector<StoredObject> objects;
 };
 
+// The objects without their marks.
+inline std::vector<core::Object> objectsOf(ObjectBatch batch)
+{
+    std::vector<core::Object> objects;
+    objects.reserve(batch.objects.size());
+    for (StoredObject& stored : batch.objects)
+        objects.push_back(std::move(stored.object));
+    return objects;
+}
+
 // The end of a conditional write: the object as it is now in the store, and whether this writer put it there.
 struct WriteResult {
     bool written = false;
--- a/src/wire/session_impl.h
+++ b/src/wire/session_impl.h
@@ -10,6 +10,7 @@
 #include "wire/header.h"
 #include "wire/lookup_answer.h"
 #include "wire/request_log.h"
+#include "wire/session.h"
 #include "wire/upstream_impl.h"
 #include "wire/worker.h"
 
--- a/tests/io/admin_fixture.h
+++ b/tests/io/admin_fixture.h
@@ -2,7 +2,7 @@
 
 #include "admin/commands.h"
 #include "declare/text.h"
-#include "store/standin.h"
+#include "platform/standin.h"
 
 #include <atomic>
 #include <boost/asio.hpp>
@@ -108,7 +108,7 @@
     int code = 0;
     boost::asio::io_context context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work = boost::asio::make_work_guard(this->context);
-    store::StandIn standIn;
+    platform::StandIn standIn;
     std::list<DumpServer> members;
     std::thread thread;
     std::filesystem::path directory;
--- a/tests/io/lease.cpp
+++ b/tests/io/lease.cpp
@@ -1,11 +1,12 @@
 #include "store/lease.h"
 
-#include "store/standin_store.h"
+#include "platform/standin.h"
 
 #include <catch2/catch.hpp>
 #include <random>
 
 namespace core = cranberryshed::core;
+namespace platform = cranberryshed::platform;
 namespace store = cranberryshed::store;
 using namespace std::chrono_literals;
 using store::LeaseStep;
@@ -14,15 +15,11 @@
 
 constexpr core::TimePoint start { 1h };
 
+// A write with a mark of its own, as the client makes it. The store would take one without for no change.
 store::StoredObject object(const std::string& kind, const std::string& name, const std::string& content)
 {
-    return { .object = { .kind = kind, .name = name, .version = {}, .deleted = false, .content = content }, .mark = {} };
-}
-
-store::StoredObject find(const store::StandInStore& store, const std::string& kind, const std::string& name)
-{
-    auto found = store.find(kind, name);
-    return found ? *found : store::StoredObject {};
+    static std::uint64_t writes = 0;
+    return { .object = { .kind = kind, .name = name, .version = {}, .deleted = false, .content = content }, .mark = { .writer = "test", .nonce = std::to_string(++writes) } };
 }
 
 // A process that wants to write the status object.
@@ -34,31 +31,31 @@
     }
 
     // Does what the lease asks for, with an immediate store.
-    void step(store::StandInStore& store, core::TimePoint now)
+    void step(platform::StandInStore& store, core::TimePoint now)
     {
         LeaseStep next = this->lease.step(now);
         if (next == LeaseStep::Read)
-            this->lease.observed(find(store, "lease", "status"), now);
+            this->lease.observed(platform::findOwnObject(store, "lease", "status"), now);
         else if (next == LeaseStep::Write)
-            this->lease.written(store.put(object("lease", "status", this->lease.content()), this->lease.ifVersion()), now, now);
+            this->lease.written(platform::putOwnObject(store, object("lease", "status", this->lease.content()), this->lease.ifVersion()), now, now);
     }
 
     // Begins a status write: the condition it will be sent with, or nothing if this process may not write.
-    std::optional<std::uint64_t> begin(const store::StandInStore& store, core::TimePoint now)
+    std::optional<std::uint64_t> begin(const platform::StandInStore& store, core::TimePoint now)
     {
         if (!this->lease.isHeld(now))
             return std::nullopt;
         std::optional<std::uint64_t> condition = this->writes.ifVersion(this->lease.term());
         if (!condition) {
-            this->writes.observed(this->lease.term(), find(store, "status", "fleet").object.version.version);
+            this->writes.observed(this->lease.term(), platform::findOwnObject(store, "status", "fleet").object.version.version);
             condition = this->writes.ifVersion(this->lease.term());
         }
         return condition;
     }
 
-    bool finish(store::StandInStore& store, std::uint64_t condition)
+    bool finish(platform::StandInStore& store, std::uint64_t condition)
     {
-        store::WriteResult result = store.put(object("status", "fleet", '"' + this->name + '"'), condition);
+        store::WriteResult result = platform::putOwnObject(store, object("status", "fleet", '"' + this->name + '"'), condition);
         this->writes.written(this->lease.term(), result);
         return result.written;
     }
@@ -73,7 +70,7 @@
 // Guards against two status writers, and against a job that nobody takes over.
 TEST_CASE("a lease is taken, renewed and taken over after it lapsed", "[lease]")
 {
-    store::StandInStore store;
+    platform::StandInStore store;
     Writer first("first");
     Writer second("second");
     for (core::TimePoint now = start; now < start + 60s; now += 1s) {
@@ -97,7 +94,7 @@
 // Guards against a holder that was paused in the middle of a write, wakes, and overwrites its successor's status.
 TEST_CASE("a paused holder does no harm when it wakes", "[lease]")
 {
-    store::StandInStore store;
+    platform::StandInStore store;
     Writer first("first");
     Writer second("second");
     first.step(store, start);
@@ -113,10 +110,10 @@
     CHECK(second.finish(store, *own));
 
     CHECK_FALSE(first.finish(store, *pending)); // on its way since before the pause
-    CHECK(find(store, "status", "fleet").object.content == "\"second\"");
+    CHECK(platform::findOwnObject(store, "status", "fleet").object.content == "\"second\"");
     CHECK_FALSE(first.begin(store, now)); // it no longer believes that it holds the lease
     // Its renewal, were it sent as well, fails on the version.
-    CHECK_FALSE(store.put(object("lease", "status", first.lease.content()), first.lease.ifVersion()).written);
+    CHECK_FALSE(platform::putOwnObject(store, object("lease", "status", first.lease.content()), first.lease.ifVersion()).written);
     first.step(store, now);
     CHECK_FALSE(first.lease.isHeld(now));
 }
@@ -127,7 +124,7 @@
 {
     for (std::uint64_t seed = 1; seed <= 100; ++seed) {
         core::RandomEngine random(seed);
-        store::StandInStore store;
+        platform::StandInStore store;
         std::vector<Writer> writers { Writer("a"), Writer("b"), Writer("c") };
         std::vector<core::TimePoint> pausedUntil(writers.size(), start);
         std::vector<std::optional<std::uint64_t>> pending(writers.size());
--- a/tests/io/platform.cpp
+++ b/tests/io/platform.cpp
@@ -1,5 +1,6 @@
 #include "platform/dialect.h"
 #include "platform/objects.h"
+#include "platform/store_api.h"
 
 #include "core/errors.h"
 
@@ -127,25 +128,25 @@
 TEST_CASE("a damaged answer is an error, a damaged object is left out", "[platform]")
 {
     for (const char* damaged : { "", "[]", R"({"items":[]})", R"({"items":{},"at":1})", R"({"items":[],"at":"1"})" })
-        CHECK_THROWS_AS(platform::decodePage(damaged, "servers"), core::Error);
+        CHECK_THROWS_AS(platform::PlatformObjects::readPage(damaged, "servers"), core::Error);
     for (const char* damaged : { R"({"events":3,"at":1})", R"({"events":[3],"at":1})", R"({"events":[{}],"at":1})" })
-        CHECK_THROWS_AS(platform::decodeChanges(damaged, "servers"), core::Error);
+        CHECK_THROWS_AS(platform::PlatformObjects::readChanges(damaged, "servers"), core::Error);
     const std::string page = R"({"items":[3,{"metadata":{}},{"metadata":{"name":"bad","revision":2},"spec":")"
                              "\xff"
                              R"("},{"metadata":{"name":"good","revision":3},"spec":{}}],"at":9})";
-    const platform::ObjectPage decoded = platform::decodePage(page, "servers");
-    REQUIRE(decoded.objects.size() == 2);
-    CHECK(decoded.objects[1].name == "good");
+    const store::ObjectPage decoded = platform::PlatformObjects::readPage(page, "servers");
+    REQUIRE(decoded.batch.objects.size() == 2);
+    CHECK(decoded.batch.objects[1].object.name == "good");
 }
 
 // Guards against taking the removal of an object for its last state.
 TEST_CASE("a removal is newer than the state that it removes", "[platform]")
 {
-    const platform::ObjectChanges changes = platform::decodeChanges(R"({"events":[{"deleted":true,"object":{"metadata":{"name":"i-1","revision":7},"spec":{},"status":null}}],"at":9})", "servers");
-    REQUIRE(changes.changes.size() == 1);
-    CHECK(changes.at == 9);
-    CHECK(changes.changes[0].deleted);
-    CHECK(changes.changes[0].version > core::ObjectVersion { .revision = 7, .version = 0 });
+    const store::ObjectBatch changes = platform::PlatformObjects::readChanges(R"({"events":[{"deleted":true,"object":{"metadata":{"name":"i-1","revision":7},"spec":{},"status":null}}],"at":9})", "servers");
+    REQUIRE(changes.objects.size() == 1);
+    CHECK(changes.version == 9);
+    CHECK(changes.objects[0].object.deleted);
+    CHECK(changes.objects[0].object.version > core::ObjectVersion { .revision = 7, .version = 0 });
 }
 
 // Guards against an answer that reaches a caller whose request it does not belong to, and against a "not run" that is
--- a/tests/io/policy.cpp
+++ b/tests/io/policy.cpp
@@ -1,4 +1,5 @@
-#include "store/http_client_impl.h"
+#include "platform/store_api.h"
+#include "store/client_impl.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
@@ -7,6 +8,8 @@
 
 namespace asio = boost::asio;
 namespace core = cranberryshed::core;
+namespace json = boost::json;
+namespace platform = cranberryshed::platform;
 namespace store = cranberryshed::store;
 using namespace std::chrono_literals;
 using store::ExchangeEnd;
@@ -32,7 +35,7 @@
     core::TimePoint time { 1h };
 };
 
-using MockedClient = store::Client<MockTransport>;
+using MockedClient = store::Client<MockTransport, platform::OwnObjects>;
 
 asio::awaitable<HttpReply> ready(HttpReply reply)
 {
@@ -63,26 +66,43 @@
     return { .kind = "target", .name = "clone", .version = { .revision = revision, .version = version }, .deleted = false, .content = "{}" };
 }
 
+// The store's object with this content and revision.
+std::string objectText(const std::string& name, const json::value& spec, std::uint64_t revision)
+{
+    return json::serialize(json::object { { "metadata", json::object { { "name", name }, { "revision", revision } } }, { "spec", spec }, { "status", nullptr } });
+}
+
+std::string objectText(const store::StoredObject& stored)
+{
+    return objectText(platform::OwnObjects::storeName(stored.object.kind, stored.object.name), json::parse(platform::OwnObjects::encodeSpec(stored)), stored.object.version.version);
+}
+
 // The object that the store holds after this PUT.
 std::string storedBy(const HttpRequest& request, std::uint64_t version)
 {
-    store::StoredObject stored = store::decodeWrite(request.body, "target", "clone");
-    stored.object.version.version = version;
-    return store::encodeObject(stored);
+    const json::value body = json::parse(request.body);
+    return objectText(std::string(body.at("metadata").at("name").as_string()), body.at("spec"), version);
 }
 
 std::string storedByOther(std::uint64_t version)
 {
-    return store::encodeObject({ .object = target(9, version), .mark = { .writer = "other", .nonce = "1" } });
+    return objectText({ .object = target(9, version), .mark = { .writer = "other", .nonce = "1" } });
+}
+
+std::string listOf(std::uint64_t version, const std::vector<core::Object>& objects)
+{
+    json::array items;
+    for (const core::Object& object : objects)
+        items.push_back(json::parse(objectText({ .object = object, .mark = {} })));
+    return json::serialize(json::object { { "items", std::move(items) }, { "has_more", false }, { "at", version } });
 }
 
-std::string page(std::uint64_t version, const std::vector<core::Object>& objects)
+std::string changesOf(std::uint64_t version, const std::vector<core::Object>& objects)
 {
-    std::vector<std::string> texts;
-    texts.reserve(objects.size());
+    json::array events;
     for (const core::Object& object : objects)
-        texts.push_back(store::encodeObject({ .object = object, .mark = {} }));
-    return store::encodePage(version, texts, "");
+        events.push_back(json::object { { "deleted", false }, { "object", json::parse(objectText({ .object = object, .mark = {} })) } });
+    return json::serialize(json::object { { "events", std::move(events) }, { "at", version } });
 }
 
 }
@@ -257,7 +277,7 @@
     std::vector<std::uint64_t> taken;
     std::vector<bool> ups;
     ALLOW_CALL(transport, exchange(trompeloeil::_, trompeloeil::_)).LR_WITH(transport.time < start + 1h).LR_SIDE_EFFECT(++calls).RETURN(ready(notSent));
-    ALLOW_CALL(transport, exchange(trompeloeil::_, trompeloeil::_)).LR_WITH(transport.time >= start + 1h).RETURN(ready(answered(200, page(5, { target(2, 5) }))));
+    ALLOW_CALL(transport, exchange(trompeloeil::_, trompeloeil::_)).LR_WITH(transport.time >= start + 1h).RETURN(ready(answered(200, listOf(5, { target(2, 5) }))));
     auto take = [&](const std::vector<core::Object>& objects) {
         taken.push_back(objects.at(0).version.version);
         throw StopFollowing();
@@ -277,12 +297,12 @@
     std::vector<std::string> targets;
     std::vector<core::ObjectVersion> taken;
     std::vector<HttpReply> replies {
-        answered(200, page(5, { target(2, 5) })), // list
-        answered(200, page(6, { target(3, 6) })), // watch
+        answered(200, listOf(5, { target(2, 5) })), // list
+        answered(200, changesOf(6, { target(3, 6) })), // watch
         answered(410, "{}"), // watch: the store was restored
-        answered(200, page(5, { target(2, 5) })), // list of the old copy
-        answered(200, page(7, { target(2, 7) })), // watch: a write by someone who knows only the old copy
-        answered(200, page(8, { target(4, 8) })), // watch
+        answered(200, listOf(5, { target(2, 5) })), // list of the old copy
+        answered(200, changesOf(7, { target(2, 7) })), // watch: a write by someone who knows only the old copy
+        answered(200, changesOf(8, { target(4, 8) })), // watch
     };
     ALLOW_CALL(transport, exchange(trompeloeil::_, trompeloeil::_)).LR_SIDE_EFFECT(targets.push_back(_1.target)).LR_RETURN(ready(replies.at(targets.size() - 1)));
     auto take = [&](const std::vector<core::Object>& objects) {
@@ -292,9 +312,9 @@
     };
     CHECK_THROWS_AS(run(client.follow({ "target" }, take)), StopFollowing);
     CHECK(taken == std::vector<core::ObjectVersion> { { 2, 5 }, { 3, 6 }, { 4, 8 } });
-    CHECK(targets.at(1) == "/v1/watch?from=5&waitMs=30000");
-    CHECK(targets.at(3) == "/v1/objects/target");
-    CHECK(targets.at(4) == "/v1/watch?from=5&waitMs=30000");
+    CHECK(targets.at(1) == "/api/objects/cranberryshed?watch=5&wait_ms=30000");
+    CHECK(targets.at(3) == "/api/objects/cranberryshed?after=target.");
+    CHECK(targets.at(4) == "/api/objects/cranberryshed?watch=5&wait_ms=30000");
 }
 
 // Guards against changes that are missed for good because a restored store counted its versions up again to the
--- a/tests/io/standin.cpp
+++ b/tests/io/standin.cpp
@@ -7,6 +7,7 @@
 #include <map>
 
 namespace core = cranberryshed::core;
+namespace platform = cranberryshed::platform;
 namespace store = cranberryshed::store;
 using cranberryshed::tests::StoreFixture;
 
@@ -43,7 +44,7 @@
     StoreFixture fixture;
     core::ServerListing server { .name = "ledger-1", .address = "127.0.0.1:8080", .service = "ledger", .batch = "ledger-2024", .domain = "jyl-1", .leaving = true, .slots = 4, .connectionLimit = 100 };
     fixture.standIn.setServers({ server });
-    core::ServerList list = fixture.run(fixture.client.vms());
+    core::ServerList list = fixture.run(fixture.client.servers());
     REQUIRE(list.servers.size() == 1);
     CHECK(list.servers[0].address == server.address);
     CHECK(list.servers[0].leaving);
@@ -68,12 +69,12 @@
             fixture.context.run_one_for(std::chrono::milliseconds(50));
         return condition();
     };
-    fixture.standIn.control([](store::StandInControl& control) { control.refuse = true; });
+    fixture.standIn.control([](platform::StandInControl& control) { control.refuse = true; });
     boost::asio::co_spawn(fixture.context, fixture.client.follow({ "site" }, take), boost::asio::detached);
     fixture.standIn.put(site("randers", 1), 0);
     CHECK(until([&] { return fixture.client.storeIsDown(); }));
     CHECK(taken.empty());
-    fixture.standIn.control([](store::StandInControl& control) { control.refuse = false; });
+    fixture.standIn.control([](platform::StandInControl& control) { control.refuse = false; });
     CHECK(until([&] { return taken.size() == 1; }));
 
     CHECK(until([&] { return fixture.standIn.pendingWatches() == 1; }));
@@ -101,7 +102,7 @@
 TEST_CASE("calls to a slow or closed store end by their deadline", "[standin]")
 {
     StoreFixture fixture;
-    fixture.standIn.control([](store::StandInControl& control) { control.delay = std::chrono::seconds(3); });
+    fixture.standIn.control([](platform::StandInControl& control) { control.delay = std::chrono::seconds(3); });
     auto begin = std::chrono::steady_clock::now();
     CHECK_THROWS_AS(fixture.run(fixture.client.get("site", "randers")), core::Error);
     CHECK(std::chrono::steady_clock::now() - begin < std::chrono::milliseconds(2500));
@@ -110,13 +111,35 @@
     CHECK_THROWS_AS(closed.run(closed.client.put(site("randers", 1), 0)), core::Error);
 }
 
+// Guards against a process that stays cut off long after a partition has ended: a connection attempt from that time
+// hung until the deadline of a watch.
+TEST_CASE("an attempt to connect that gets no answer ends soon", "[standin]")
+{
+    namespace asio = boost::asio;
+    StoreFixture fixture;
+    // The kernel drops what exceeds the queue of a listener that accepts nothing.
+    asio::ip::tcp::acceptor deaf(fixture.context, { asio::ip::address_v4::loopback(), 0 }, false);
+    ::listen(deaf.native_handle(), 0);
+    std::vector<asio::ip::tcp::socket> queued;
+    for (int i = 0; i < 4; ++i) {
+        queued.emplace_back(fixture.context);
+        queued.back().async_connect(deaf.local_endpoint(), asio::detached);
+    }
+    fixture.context.run_for(std::chrono::milliseconds(100));
+    store::HttpTransport transport(fixture.context, "127.0.0.1:" + std::to_string(deaf.local_endpoint().port()));
+    store::HttpRequest request { .verb = store::Verb::Get, .target = "/", .body = {} };
+    const auto start = std::chrono::steady_clock::now();
+    CHECK(fixture.run(transport.exchange(request, transport.now() + std::chrono::seconds(8))).end == store::ExchangeEnd::NotSent);
+    CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(2));
+}
+
 // Guards against writes that are doubled or lost over a real connection that breaks at the worst moment.
 TEST_CASE("every write takes effect once while answers and requests are lost", "[standin]")
 {
     StoreFixture fixture;
     std::uint64_t version = 0;
     for (std::uint64_t i = 1; i <= 30; ++i) {
-        fixture.standIn.control([&](store::StandInControl& control) {
+        fixture.standIn.control([&](platform::StandInControl& control) {
             control.loseAnswers = i % 3 == 0 ? 1 : 0;
             control.loseRequests = i % 3 == 1 ? 1 : 0;
         });
@@ -132,14 +155,14 @@
 {
     StoreFixture fixture;
     fixture.standIn.setServers({ { .name = "old", .address = "127.0.0.1:1", .service = "ledger", .batch = "b", .domain = "jyl-1" } });
-    fixture.standIn.control([](store::StandInControl& control) { control.serverListLag = std::chrono::milliseconds(150); });
+    fixture.standIn.control([](platform::StandInControl& control) { control.serverListLag = std::chrono::milliseconds(150); });
     fixture.standIn.setServers({ { .name = "new", .address = "127.0.0.1:1", .service = "ledger", .batch = "b", .domain = "jyl-1" } });
-    CHECK(fixture.run(fixture.client.vms()).servers.at(0).name == "old");
+    CHECK(fixture.run(fixture.client.servers()).servers.at(0).name == "old");
     boost::asio::steady_timer timer(fixture.context, std::chrono::milliseconds(160));
     timer.async_wait([](const boost::system::error_code&) {});
     fixture.context.run_for(std::chrono::milliseconds(200));
-    CHECK(fixture.run(fixture.client.vms()).servers.at(0).name == "new");
-    CHECK(fixture.standIn.counts()["vms"] == 2);
+    CHECK(fixture.run(fixture.client.servers()).servers.at(0).name == "new");
+    CHECK(fixture.standIn.counts()["servers"] == 2);
 }
 
 // Guards against lists and values that are cut off at the store's limits.
--- a/tests/io/store_fixture.h
+++ b/tests/io/store_fixture.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "store/http_client.h"
-#include "store/standin.h"
+#include "platform/store_api.h"
+#include "platform/standin.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
@@ -54,9 +54,9 @@
     }
 
     boost::asio::io_context context;
-    store::StandIn standIn;
+    platform::StandIn standIn;
     store::HttpTransport transport;
-    store::HttpClient client;
+    platform::OwnStoreClient client;
 };
 
 }
--- a/tests/io/vm_fixture.h
+++ b/tests/io/vm_fixture.h
@@ -3,7 +3,7 @@
 #include "app/entry_vm.h"
 #include "app/server_standin.h"
 #include "core/errors.h"
-#include "store/standin.h"
+#include "platform/standin.h"
 
 #include <chrono>
 #include <map>
@@ -219,7 +219,7 @@
     asio::io_context context { 1 };
     asio::executor_work_guard<asio::io_context::executor_type> work = asio::make_work_guard(this->context);
     std::shared_ptr<app::RunCounter> runs = std::make_shared<app::RunCounter>();
-    store::StandIn store;
+    platform::StandIn store;
     std::vector<std::unique_ptr<app::ServerStandIn>> servers;
     std::vector<std::unique_ptr<app::EntryVm>> vms;
     std::uint64_t revision = 0;
