--- a/src/store/client_impl.h
+++ b/src/store/client_impl.h
@@ -135,6 +135,9 @@
 template <Transport TransportType, Api ApiType>
 asio::awaitable<ObjectBatch> Client<TransportType, ApiType>::watch(std::string kind, std::uint64_t from, core::Duration wait)
 {
+    // A watch that waits would keep all other calls from the store until it ends, if it is the breaker's probe.
+    if (this->breaker.isOpen())
+        wait = core::Duration::zero();
     HttpRequest request = ApiType::watchCall(kind, from, wait);
     HttpReply reply = co_await this->attempt(std::move(request), wait + this->options.watchGrace);
     if (isServerFailure(reply))
--- /dev/null
+++ b/tests/io/platform_fixture.h
@@ -0,0 +1,195 @@
+#pragma once
+
+#include "platform/setup.h"
+#include "platform/standin.h"
+#include "vm_fixture.h"
+#include "wire/header.h"
+
+#include <boost/json.hpp>
+
+namespace cranberryshed::test {
+
+// A backend server that speaks as those on the users' platform do. Its faults may change while it runs.
+class PlatformServer {
+public:
+    PlatformServer(asio::io_context& owner, std::string instance)
+        : name(std::move(instance))
+        , context(owner)
+        , acceptor(owner, { asio::ip::address_v4::loopback(), 0 })
+    {
+        asio::co_spawn(owner, this->accept(), asio::detached);
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()); }
+
+    // How often the request with this id ran.
+    unsigned runs(const std::string& request)
+    {
+        const std::scoped_lock lock(this->mutex);
+        return this->runsById[request];
+    }
+
+    unsigned allRuns()
+    {
+        const std::scoped_lock lock(this->mutex);
+        unsigned sum = 0;
+        for (const auto& [request, count] : this->runsById)
+            sum += count;
+        return sum;
+    }
+
+    const std::string name;
+    std::atomic<bool> losesAnswers = false; // runs a request and closes the connection
+    std::atomic<bool> refuses = false; // says that a request has not run
+
+private:
+    using Request = wire::http::request<wire::http::string_body>;
+    using Response = wire::http::response<wire::http::string_body>;
+
+    asio::awaitable<void> accept()
+    {
+        for (;;) {
+            asio::ip::tcp::socket socket = co_await this->acceptor.async_accept(asio::use_awaitable);
+            asio::co_spawn(this->context, this->serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(asio::ip::tcp::socket socket)
+    {
+        boost::beast::flat_buffer buffer;
+        for (boost::system::error_code error; !error;) {
+            Request request;
+            co_await wire::http::async_read(socket, buffer, request, asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return;
+            Response response = this->answer(request);
+            if (this->losesAnswers)
+                co_return;
+            response.prepare_payload();
+            co_await wire::http::async_write(socket, response, asio::redirect_error(asio::use_awaitable, error));
+        }
+    }
+
+    Response answer(const Request& request)
+    {
+        const std::string id(request["Request-Id"]);
+        Response response(wire::http::status::ok, 11);
+        response.set("Request-Id", id);
+        response.set("Server-Load", "1,0,3");
+        if (request["Expect-Instance"] != this->name)
+            response.result(wire::http::status::misdirected_request);
+        else if (this->refuses) {
+            response.result(wire::http::status::service_unavailable);
+            response.set("Not-Executed", "1");
+        } else {
+            const std::scoped_lock lock(this->mutex);
+            ++this->runsById[id];
+            response.set("Server-Stamp", "stamp of " + this->name);
+            response.body() = "answer of " + this->name + " to " + std::string(request.target());
+        }
+        return response;
+    }
+
+    asio::io_context& context;
+    asio::ip::tcp::acceptor acceptor;
+    std::mutex mutex;
+    std::map<std::string, unsigned> runsById;
+};
+
+// The platform's store and backend servers in this process, with two routes of one service: /read/ (safe) and
+// /write/ (unsafe). Entry VMs of the platform's kind join them.
+class PlatformFixture {
+public:
+    explicit PlatformFixture(unsigned serverCount = 2)
+        : store(this->context)
+    {
+        spdlog::set_level(spdlog::level::off);
+        for (unsigned i = 1; i <= serverCount; ++i) {
+            this->servers.push_back(std::make_unique<PlatformServer>(this->context, "i-" + std::to_string(i)));
+            this->listServer(*this->servers.back(), "ready");
+        }
+        this->configure(1, "/write/");
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+
+    ~PlatformFixture()
+    {
+        this->vms.clear();
+        this->work.reset();
+        this->context.stop();
+        this->thread.join();
+    }
+
+    // The addresses of one entry VM.
+    struct Addresses {
+        std::string callers;
+        std::string lookups;
+        std::string readiness;
+    };
+
+    // Starts an entry VM with ports of its own and returns where to reach it.
+    const Addresses& startVm(const std::string& name)
+    {
+        app::EntryVmOptions options;
+        options.name = name;
+        options.domain = "north-1";
+        options.domains = { { "north-1", "north" } };
+        options.callerAddress = this->freeAddress();
+        options.lookupAddress = this->freeAddress();
+        options.readinessAddress = this->freeAddress();
+        options.storeAddress = this->store.endpoint();
+        options.retryShare = 0.2;
+        options.retrySlack = 50;
+        options.acceptWhileLeaving = std::chrono::milliseconds(200);
+        this->addresses.push_back({ .callers = options.callerAddress, .lookups = options.lookupAddress, .readiness = options.readinessAddress });
+        this->vms.push_back(std::make_unique<platform::EntryVm>(options));
+        this->vms.back()->start();
+        return this->addresses.back();
+    }
+
+    void listServer(const PlatformServer& server, const std::string& state)
+    {
+        this->store.write("servers", server.name, R"({"address":")" + server.address() + R"(","born":1776390940126,"info":{"service":"ledger","version":"v1","zone":"north-1","slots":3},"status":{"state":")" + state + R"(","sequence":1,"cold_left":"0ms"}})");
+    }
+
+    // Puts a configuration in the store whose unsafe route has this path.
+    void configure(unsigned version, const std::string& writePath)
+    {
+        const auto route = [](const std::string& name, const std::string& path, const std::string& type) {
+            return R"({"resource_kind":"routes","metadata":{"name":")" + name + R"("},"spec":{"host":"test","path_prefix":")" + path + R"(","route_type":")" + type + R"(","timeout":"2s","target_latency":"400ms","priority":1,"service":"ledger","max_attempts":3,"session_affinity":true}},)";
+        };
+        this->store.write("config", "main", R"({"version":"r)" + std::to_string(version) + R"(","resources":[)" + route("read", "/read/", "safe") + route("write", writePath, "unsafe") + R"({"resource_kind":"services","metadata":{"name":"ledger"},"spec":{"health_path":"/health","max_connections":330,"cold_start":"3s","cold_per_s":6.3}},
+            {"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3s","idle_timeout":"15s"}}]})");
+    }
+
+    static bool isReady(const Addresses& vm) { return RawClient(vm.readiness).ask(get("/api/ready")).status() == 200; }
+
+    static std::string fields(const std::string& request) { return "Request-Id: " + request + "\r\nDeadline-Ms: 2000\r\nAffinity-Key: 17\r\n"; }
+
+    unsigned runs(const std::string& request)
+    {
+        unsigned sum = 0;
+        for (const std::unique_ptr<PlatformServer>& server : this->servers)
+            sum += server->runs(request);
+        return sum;
+    }
+
+    asio::io_context context { 1 };
+    asio::executor_work_guard<asio::io_context::executor_type> work = asio::make_work_guard(this->context);
+    platform::StandIn store;
+    std::vector<std::unique_ptr<PlatformServer>> servers;
+    std::vector<std::unique_ptr<platform::EntryVm>> vms;
+    std::deque<Addresses> addresses;
+
+private:
+    // A port that was free a moment ago. Entry VMs on the platform are told theirs.
+    std::string freeAddress()
+    {
+        const asio::ip::tcp::acceptor probe(this->context, { asio::ip::address_v4::loopback(), 0 });
+        return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+    }
+
+    std::thread thread;
+};
+
+}
--- /dev/null
+++ b/tests/io/platform_path.cpp
@@ -0,0 +1,164 @@
+// The whole path on the users' platform, over loopback: store, backend servers, entry VMs and callers.
+
+#include "platform_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cranberryshed;
+using namespace cranberryshed::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool becomesReady(const PlatformFixture::Addresses& vm)
+{
+    return timeUntil([&] { return PlatformFixture::isReady(vm); }, 5s) < 5s;
+}
+
+}
+
+// Guards against a path that doesn't fit together although each of its parts passes its tests.
+TEST_CASE("a request of the platform's kind runs once and gets its server's answer", "[platform-path]")
+{
+    PlatformFixture fixture;
+    const PlatformFixture::Addresses vm = fixture.startVm("front-1");
+    REQUIRE(becomesReady(vm));
+    const RawAnswer lookup = RawClient(vm.lookups).ask(get("/api/resolve?name=test&region=north&zone=north-1"));
+    CHECK(lookup.status() == 200);
+    CHECK(lookup.body.find(vm.callers) != std::string::npos);
+    RawClient client(vm.callers);
+    const RawAnswer read = client.ask(get("/read/1", PlatformFixture::fields("a")));
+    CHECK(read.status() == 200);
+    CHECK(read.field("Server-Stamp").starts_with("stamp of i-"));
+    CHECK(read.body.ends_with("to /read/1"));
+    CHECK(client.ask(post("/write/1", "bell", PlatformFixture::fields("b"))).status() == 200);
+    CHECK(client.ask(get("/nowhere/1", PlatformFixture::fields("c"))).status() == 404);
+    CHECK(fixture.runs("a") == 1);
+    CHECK(fixture.runs("b") == 1);
+    CHECK(fixture.runs("c") == 0);
+}
+
+// Guards against an order that is placed twice because its answer was lost, and against a look-up that fails for it.
+TEST_CASE("after a lost answer only idempotent requests are sent again", "[platform-path]")
+{
+    PlatformFixture fixture;
+    const PlatformFixture::Addresses vm = fixture.startVm("front-1");
+    REQUIRE(becomesReady(vm));
+    fixture.servers[0]->losesAnswers = true;
+    unsigned lost = 0;
+    for (int i = 0; i < 20; ++i) {
+        const std::string order = "order-" + std::to_string(i);
+        const std::string key = "Affinity-Key: " + std::to_string(i) + "\r\nRequest-Id: " + order + "\r\nDeadline-Ms: 2000\r\n";
+        const int status = RawClient(vm.callers).ask(post("/write/1", "bell", key)).status();
+        CHECK((status == 200 || status == 502));
+        lost += status == 502 ? 1 : 0;
+        CHECK(fixture.runs(order) == 1);
+        const std::string lookup = "Affinity-Key: " + std::to_string(i) + "\r\nRequest-Id: lookup-" + std::to_string(i) + "\r\nDeadline-Ms: 2000\r\n";
+        CHECK(RawClient(vm.callers).ask(get("/read/1", lookup)).status() == 200);
+    }
+    CHECK(lost > 0);
+}
+
+// Guards against a change of the configuration that is missed when watches are cut, when the history is gone or while
+// the store is away, and against a regress to an older one.
+TEST_CASE("a newer configuration gets in force through cuts, lost history and an outage", "[platform-path]")
+{
+    PlatformFixture fixture;
+    const PlatformFixture::Addresses vm = fixture.startVm("front-1");
+    REQUIRE(becomesReady(vm));
+    unsigned version = 1;
+    const auto takesEffect = [&](const std::string& path) {
+        fixture.configure(++version, path);
+        return [&fixture, &vm, path] {
+            return RawClient(vm.callers).ask(post(path + "1", "bell", PlatformFixture::fields("probe"))).status() == 200;
+        };
+    };
+    CHECK(timeUntil(takesEffect("/second/"), 2s) < 2s);
+    fixture.store.cutWatches();
+    CHECK(timeUntil(takesEffect("/third/"), 2s) < 2s);
+    fixture.store.cutWatches();
+    const auto fourth = takesEffect("/fourth/");
+    fixture.store.compactHistory();
+    CHECK(timeUntil(fourth, 2s) < 2s);
+    fixture.store.control([](platform::StandInControl& control) { control.refuse = true; });
+    fixture.store.cutWatches();
+    const auto fifth = takesEffect("/fifth/");
+    std::this_thread::sleep_for(500ms);
+    fixture.store.control([](platform::StandInControl& control) { control.refuse = false; });
+    CHECK(timeUntil(fifth, 3s) < 3s);
+    fixture.configure(2, "/second/"); // an older version that turns up again
+    std::this_thread::sleep_for(400ms);
+    CHECK(fifth());
+}
+
+// Guards against an entry VM that answers 404 or nothing for want of a configuration, and against one that can't start
+// without the store although its peers know all it needs.
+TEST_CASE("a VM that starts without the store learns from its peers, and says 503 until then", "[platform-path]")
+{
+    PlatformFixture fixture;
+    const PlatformFixture::Addresses first = fixture.startVm("front-1");
+    REQUIRE(becomesReady(first));
+    const PlatformFixture::Addresses second = fixture.startVm("front-2");
+    REQUIRE(becomesReady(second));
+    fixture.store.control([](platform::StandInControl& control) { control.refuse = true; });
+    const PlatformFixture::Addresses alone = fixture.startVm("front-3");
+    CHECK(RawClient(alone.callers).ask(get("/read/1", PlatformFixture::fields("a"))).status() == 503);
+    CHECK_FALSE(PlatformFixture::isReady(alone));
+    // The first two know each other from their notes in the store. The second one forgets nothing while it is away.
+    CHECK(RawClient(second.callers).ask(get("/read/1", PlatformFixture::fields("b"))).status() == 200);
+    fixture.store.control([](platform::StandInControl& control) { control.refuse = false; });
+    CHECK(becomesReady(alone));
+}
+
+// Guards against requests to servers that leave, whose failure domain is evacuated, or that are gone from the store.
+TEST_CASE("leaving, evacuated and removed servers get no more work", "[platform-path]")
+{
+    PlatformFixture fixture;
+    const PlatformFixture::Addresses vm = fixture.startVm("front-1");
+    REQUIRE(becomesReady(vm));
+    unsigned next = 0;
+    const auto ask = [&] {
+        const std::string object = std::to_string(++next);
+        return RawClient(vm.callers).ask(get("/read/1", "Affinity-Key: " + object + "\r\nRequest-Id: r" + object + "\r\nDeadline-Ms: 500\r\n")).status();
+    };
+    const auto isIdle = [&](PlatformServer& server) {
+        const unsigned before = server.allRuns();
+        for (int i = 0; i < 12; ++i)
+            ask();
+        return server.allRuns() == before;
+    };
+    CHECK_FALSE(isIdle(*fixture.servers[0]));
+    fixture.listServer(*fixture.servers[0], "draining");
+    CHECK(timeUntil([&] { return isIdle(*fixture.servers[0]); }, 2s) < 2s);
+    fixture.listServer(*fixture.servers[0], "ready");
+    CHECK(timeUntil([&] { return !isIdle(*fixture.servers[0]); }, 2s) < 2s);
+    fixture.store.remove("servers", fixture.servers[0]->name);
+    CHECK(timeUntil([&] { return isIdle(*fixture.servers[0]); }, 2s) < 2s);
+    CHECK_FALSE(isIdle(*fixture.servers[1]));
+    fixture.store.write("evacuations", "north-1", "{}");
+    CHECK(timeUntil([&] { return isIdle(*fixture.servers[1]); }, 2s) < 2s);
+    fixture.store.remove("evacuations", "north-1");
+    CHECK(timeUntil([&] { return ask() == 200; }, 2s) < 2s);
+}
+
+// Guards against calls to the store that grow with the number of entry VMs: every change would wake each of them.
+TEST_CASE("two VMs of a failure domain watch the store for the others", "[platform-path]")
+{
+    PlatformFixture fixture;
+    std::vector<PlatformFixture::Addresses> vms;
+    for (int i = 1; i <= 5; ++i)
+        vms.push_back(fixture.startVm("front-" + std::to_string(i)));
+    for (const PlatformFixture::Addresses& vm : vms)
+        REQUIRE(becomesReady(vm));
+    constexpr std::size_t kinds = 3;
+    // A call that is pending when a VM learns that others watch ends first, so these are cut until none comes back.
+    const auto twoWatch = [&] {
+        fixture.store.cutWatches();
+        std::this_thread::sleep_for(1s);
+        return fixture.store.pendingWatches() == 2 * kinds;
+    };
+    CHECK(timeUntil(twoWatch, 10s) < 10s);
+    fixture.configure(2, "/second/");
+    for (const PlatformFixture::Addresses& vm : vms)
+        CHECK(timeUntil([&] { return RawClient(vm.callers).ask(post("/second/1", "bell", PlatformFixture::fields("probe"))).status() == 200; }, 2s) < 2s);
+}
