--- a/src/app/command.cpp
+++ b/src/app/command.cpp
@@ -28,6 +28,7 @@
         Command { "status", "print targets beside measured outcomes, and drains", statusCommand },
         Command { "wait", "wait until the accepted declarations are in force everywhere", waitCommand },
         Command { "dump", "print the state of one entry VM", dumpCommand },
+        Command { "explain", "explain from logs what became of requests", explainCommand },
     };
 
     void printUsage(std::ostream& out)
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -10,6 +10,7 @@
 int devCommand(const Arguments&);
 int loadCommand(const Arguments&);
 int dumpCommand(const Arguments&);
+int explainCommand(const Arguments&);
 int checkCommand(const Arguments&);
 int diffCommand(const Arguments&);
 int applyCommand(const Arguments&);
--- a/src/wire/event_log.h
+++ b/src/wire/event_log.h
@@ -44,7 +44,7 @@
     Attempt, // number of the attempt, from 1
     ElapsedMs, // since the request arrived, or since the attempt was sent
     LeftMs, // until the deadline
-    WaitedMs, // in the queue of this entry VM
+    WaitedMs, // from the arrival of the request until this attempt was sent
     InFlight, // requests of this entry VM at the server
     Others, // requests of other entry VMs at the server, as estimated
     ExpectedMs, // until the answer, when it was sent
--- /dev/null
+++ b/tests/io/explain.cpp
@@ -0,0 +1,46 @@
+#include "app/explain.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+using namespace cranberryshed;
+
+namespace {
+
+std::string readFile(const std::string& path)
+{
+    std::ifstream file(path);
+    return { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+}
+
+}
+
+// Guards against a life that lacks a decision, an attempt or its inputs, or that is out of order, and against counts that
+// leave out the lines which the log's bound dropped.
+TEST_CASE("explain prints exactly the golden file for a log of four VMs", "[explain]")
+{
+    std::ifstream log(SOURCE_DIR "/tests/golden/log.txt");
+    const std::vector<app::LogRecord> records = app::readLog(log, "unnamed");
+    std::ostringstream out;
+    CHECK(app::printLife(records, "b705ddcb70a0e413", out));
+    CHECK(app::printLife(records, "e408c446aa37cc1e", out));
+    CHECK_FALSE(app::printLife(records, "unknown", out));
+    app::printSlowest(records, 1, out);
+    app::printRefused(records, out);
+    const std::string golden = SOURCE_DIR "/tests/golden/explain.txt";
+    if (std::getenv("UPDATE_GOLDEN"))
+        std::ofstream(golden) << out.str();
+    CHECK(out.str() == readFile(golden));
+}
+
+// Guards against a log whose origin is lost when its lines carry none.
+TEST_CASE("a line without a prefix comes from the named file", "[explain]")
+{
+    std::istringstream log("{\"unixMs\":5,\"event\":\"start\"}\n[]\n{\"event\":\"start\"}\n\n");
+    const std::vector<app::LogRecord> records = app::readLog(log, "vm-1.log");
+    REQUIRE(records.size() == 1);
+    CHECK(records[0].origin == "vm-1.log");
+    CHECK(records[0].unixMs == 5);
+}
