Announce what watchers read to their failure domain instead of spreading rumors

Ruled out: late watches, the watchers had each change within 0.5 s.

The two watchers of a failure domain now announce their news to its members, which fetch the content and don't spread it.

--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -130,10 +130,10 @@
     std::vector<ObjectEntry> entries;
 };
 
-// Versions whose content is too large for a datagram; the receiver fetches what it lacks.
+// Versions without their content; the receiver fetches what it lacks.
 struct ObjectAnnounce {
     std::vector<ObjectFact> facts;
-    bool catalogue = false; // everything that the sender holds, as asked for; no news
+    bool silent = false; // the receiver doesn't spread them: all have been told, or it asked for a catalogue
 };
 
 // Asks for the content of these objects.
--- a/src/request/earliest_answer.h
+++ b/src/request/earliest_answer.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "request/choose.h"
-#include "request/shift_limit.h"
 #include "request/server_view.h"
+#include "request/shift_limit.h"
 #include "request/work_times.h"
 
 #include <unordered_map>
--- a/tests/io/platform_fixture.h
+++ b/tests/io/platform_fixture.h
@@ -182,11 +182,22 @@
     std::deque<Addresses> addresses;
 
 private:
-    // A port that was free a moment ago. Entry VMs on the platform are told theirs.
+    // A port that nobody uses, below those that the kernel gives to outgoing connections: one of these could take it
+    // before the entry VM does. Entry VMs on the platform are told their ports.
     std::string freeAddress()
     {
-        const asio::ip::tcp::acceptor probe(this->context, { asio::ip::address_v4::loopback(), 0 });
-        return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+        constexpr std::uint16_t firstPort = 20000;
+        constexpr std::uint16_t ports = 10000;
+        static std::uint16_t next = static_cast<std::uint16_t>(::getpid()) % ports;
+        for (;;) {
+            const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(), firstPort + next++ % ports);
+            asio::ip::tcp::acceptor probe(this->context, endpoint.protocol());
+            probe.set_option(asio::socket_base::reuse_address(true));
+            boost::system::error_code error;
+            probe.bind(endpoint, error);
+            if (!error)
+                return "127.0.0.1:" + std::to_string(endpoint.port());
+        }
     }
 
     std::thread thread;
--- a/tests/pure/earliest_answer.cpp
+++ b/tests/pure/earliest_answer.cpp
@@ -292,7 +292,7 @@
             now += 20ms;
             limit.prefer(service, preferred, bounds, now);
             const core::RegionIndex chosen = limit.allows(service, preferred, now) ? preferred : preferred == near ? far
-                                                                                                         : near;
+                                                                                                                   : near;
             limit.sent(service, chosen, now);
             sentFar += chosen == far ? 1 : 0;
         }
