--- a/tests/io/platform_path.cpp
+++ b/tests/io/platform_path.cpp
@@ -69,7 +69,7 @@
     unsigned version = 1;
     const auto takesEffect = [&](const std::string& path) {
         fixture.configure(++version, path);
-        return [&fixture, &vm, path] {
+        return [&vm, path] {
             return RawClient(vm.callers).ask(post(path + "1", "bell", PlatformFixture::fields("probe"))).status() == 200;
         };
     };
--- a/tests/io/policy.cpp
+++ b/tests/io/policy.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
+#include <boost/json.hpp>
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
 
