--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -130,10 +130,10 @@
     std::vector<ObjectEntry> entries;
 };
 
-// Versions without their content; the receiver fetches what it lacks.
+// Versions whose content is too large for a datagram; the receiver fetches what it lacks.
 struct ObjectAnnounce {
     std::vector<ObjectFact> facts;
-    bool silent = false; // the receiver doesn't spread them: all have been told, or it asked for a catalogue
+    bool catalogue = false; // everything that the sender holds, as asked for; no news
 };
 
 // Asks for the content of these objects.
--- a/src/fleet/objects.cpp
+++ b/src/fleet/objects.cpp
@@ -3,7 +3,6 @@
 #include "core/hash.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace cranberryshed::fleet {
 
@@ -90,10 +89,6 @@
         this->rumors[id] = 0;
         this->nextRound = std::min(this->nextRound, std::max(now, this->lastRound + roundTime));
     }
-    if (spread == Spread::Domain) {
-        this->domainNews.push_back(id);
-        this->nextRound = now;
-    }
     if (asking != this->asked.end())
         this->asked.erase(asking);
     ++this->changeCount;
@@ -182,31 +177,8 @@
     return false;
 }
 
-// Announces the news for this failure domain. Its members fetch the content from this one.
-void Objects::tellDomain(Outbox& outbox)
-{
-    std::vector<ObjectAnnounce> parts;
-    for (ObjectId id : std::exchange(this->domainNews, {})) {
-        const auto known = this->entries.find(id);
-        if (known == this->entries.end())
-            continue;
-        if (parts.empty() || parts.back().facts.size() == factsPerDatagram)
-            parts.push_back({ .facts = {}, .silent = true });
-        parts.back().facts.push_back(this->factOf(id, known->second));
-    }
-    const MemberRecord& self = this->membership.self();
-    for (const MemberRecord* member : this->membership.all()) {
-        const bool present = member->fact.state != core::MemberState::Dead && member->fact.state != core::MemberState::Left;
-        if (member->domain != self.domain || member->fact.id == self.fact.id || !present)
-            continue;
-        for (const ObjectAnnounce& part : parts)
-            outbox.push_back(outgoing(member->peerAddress, part));
-    }
-}
-
 void Objects::spread(core::TimePoint now, core::RandomEngine& random, Outbox& outbox)
 {
-    this->tellDomain(outbox);
     this->lastRound = now;
     ObjectPush push;
     ObjectAnnounce announce;
--- a/src/fleet/objects.h
+++ b/src/fleet/objects.h
@@ -19,15 +19,12 @@
 // The bytes that an object takes in a message, its strings left out.
 constexpr std::size_t objectOverhead = 80;
 
-constexpr std::size_t factsPerDatagram = 30; // 32 bytes each
-
 // The bytes that an object takes in a message.
 std::size_t wireSize(const core::Object&);
 
 // How a new object reaches the other members.
 enum class Spread : std::uint8_t {
     Rumor, // it is sent to some of them at once
-    Domain, // it is announced to all of the same failure domain at once, which don't spread it
     OnSync, // they learn it when they compare what they hold; for objects that they all read from the store
 };
 
@@ -78,7 +75,6 @@
     void spread(core::TimePoint now, core::RandomEngine&, Outbox&);
     std::vector<ObjectId> nextRumors(const std::function<std::size_t(ObjectId)>& size);
     bool isBurst() const;
-    void tellDomain(Outbox&);
 
     ObjectFact factOf(ObjectId, const Entry&) const;
     ObjectEntry wire(const Entry&, core::TimePoint now) const;
@@ -94,7 +90,6 @@
     const Membership& membership;
     std::map<ObjectId, Entry> entries;
     std::map<ObjectId, int> rumors; // how often the object was sent, and heard from others that know it
-    std::vector<ObjectId> domainNews; // to be announced in this failure domain
     std::unordered_map<ObjectId, Asked> asked; // content under way
     BucketHashes hashes;
     core::TimePoint nextRound = core::TimePoint::max();
--- a/src/fleet/objects_answers.cpp
+++ b/src/fleet/objects_answers.cpp
@@ -19,6 +19,7 @@
     constexpr std::size_t datagramContent = 900;
     constexpr std::size_t frameContent = 512U * 1024U; // half of the largest frame; one object may exceed it
     constexpr std::size_t idsPerRequest = 64; // 8 bytes each, so that a request fits a datagram
+    constexpr std::size_t factsPerDatagram = 30; // 32 bytes each
 
 }
 
@@ -27,7 +28,7 @@
     if (const auto* push = context.body<ObjectPush>())
         this->onPush(*push, now);
     else if (const auto* announce = context.body<ObjectAnnounce>())
-        this->onFacts(context, announce->facts, !announce->silent, now);
+        this->onFacts(context, announce->facts, !announce->catalogue, now);
     else if (const auto* wanted = context.body<ObjectsWanted>())
         this->onWanted(context, *wanted, now);
     else if (const auto* sync = context.body<Sync>())
@@ -156,7 +157,7 @@
 
 void Objects::onCatalogueWanted(Context& context) const
 {
-    ObjectAnnounce announce { .facts = {}, .silent = true };
+    ObjectAnnounce announce { .facts = {}, .catalogue = true };
     for (const auto& [id, entry] : this->entries)
         announce.facts.push_back(this->factOf(id, entry));
     if (!announce.facts.empty())
--- a/src/fleet/pipeline.cpp
+++ b/src/fleet/pipeline.cpp
@@ -199,7 +199,6 @@
     result.refreshing = this->membership.refreshing();
     result.superseded = this->membership.superseded();
     result.watcher = std::find(watching.begin(), watching.end(), self.fact.id) != watching.end();
-    result.allWatch = everyoneWatches(members);
     for (const MemberRecord* member : members)
         result.members.push_back(*member);
     std::sort(result.members.begin(), result.members.end(), [](const auto& left, const auto& right) { return left.name < right.name; });
--- a/src/fleet/rendezvous.cpp
+++ b/src/fleet/rendezvous.cpp
@@ -3,7 +3,6 @@
 #include "core/hash.h"
 
 #include <algorithm>
-#include <map>
 
 namespace cranberryshed::fleet {
 
@@ -37,14 +36,4 @@
     return pick(members, domain, Duty::WatchStore);
 }
 
-bool everyoneWatches(const std::vector<const MemberRecord*>& members)
-{
-    std::map<std::string_view, std::size_t> counts; // by failure domain
-    for (const MemberRecord* member : members) {
-        if (mayHaveDuty(member->fact.state) && ++counts[member->domain] > membersPerDuty)
-            return false;
-    }
-    return true;
-}
-
 }
--- a/src/fleet/rendezvous.h
+++ b/src/fleet/rendezvous.h
@@ -23,7 +23,4 @@
 // The members of a failure domain that watch the store.
 std::vector<MemberId> watchers(const std::vector<const MemberRecord*>& members, std::string_view domain);
 
-// Whether no failure domain has more members than watch the store.
-bool everyoneWatches(const std::vector<const MemberRecord*>& members);
-
 }
--- a/src/store/follower.cpp
+++ b/src/store/follower.cpp
@@ -20,11 +20,8 @@
         gone.erase(object.name);
         this->take(std::move(object), now, news);
     }
-    for (const auto& [name, version] : gone) {
-        // Objects that others told of may be newer than the list.
-        if (version.revision <= at)
-            this->remove({ .kind = this->options.kind, .name = name, .version = { .revision = at, .version = 1 }, .deleted = true, .content = {} }, now, news);
-    }
+    for (const auto& [name, version] : gone)
+        this->remove({ .kind = this->options.kind, .name = name, .version = { .revision = at, .version = 1 }, .deleted = true, .content = {} }, now, news);
     this->reached = at;
     return news;
 }
@@ -49,14 +46,6 @@
     this->nextCall = now;
 }
 
-void Follower::restart(std::map<std::string, core::ObjectVersion> current, core::TimePoint now)
-{
-    this->known = std::move(current);
-    this->held.clear();
-    this->reached.reset();
-    this->nextCall = now;
-}
-
 void Follower::failed(core::TimePoint now, core::RandomEngine& random)
 {
     const unsigned doublings = std::min(this->failures, 8U);
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -53,10 +53,6 @@
     // The store no longer holds the history that the watch asked for.
     void historyGone(core::TimePoint now);
 
-    // Takes up again after others have followed the objects: with a list, whose news are judged against `current`, the
-    // versions of the objects that the others have told of, by name.
-    void restart(std::map<std::string, core::ObjectVersion> current, core::TimePoint now);
-
     // A call failed. `random` spreads the next call of many followers.
     void failed(core::TimePoint now, core::RandomEngine& random);
 
@@ -64,8 +60,6 @@
     std::vector<core::Object> releaseHeld(core::TimePoint now);
     std::optional<core::TimePoint> nextRelease() const;
 
-    // Whether all objects were seen once.
-    bool hasListed() const { return this->reached.has_value(); }
     bool isUp() const { return this->failures == 0 && this->reached.has_value(); }
     const std::string& kind() const { return this->options.kind; }
 
--- a/src/wire/event_log.h
+++ b/src/wire/event_log.h
@@ -17,7 +17,6 @@
     Reload,
     DependencyLost,
     DependencyRegained,
-    StoreWatch, // this entry VM began or ceased to watch the store for its failure domain
     Configuration, // another configuration is in force
     ServerState, // a backend server appeared, changed its state or is gone
     MemberState, // another entry VM changed its state
@@ -61,7 +60,7 @@
 
 template <>
 struct cranberryshed::core::Names<cranberryshed::wire::LogEvent> {
-    static constexpr std::array<std::string_view, 15> values = { "start", "stop", "reload", "dependency-lost", "dependency-regained", "store-watch", "configuration", "server-state", "member-state", "evacuation", "sent", "attempt-ended", "answered", "refused", "caller-gone" };
+    static constexpr std::array<std::string_view, 14> values = { "start", "stop", "reload", "dependency-lost", "dependency-regained", "configuration", "server-state", "member-state", "evacuation", "sent", "attempt-ended", "answered", "refused", "caller-gone" };
 };
 
 template <>
--- a/src/wire/peer_decode.cpp
+++ b/src/wire/peer_decode.cpp
@@ -209,7 +209,7 @@
             return readPush(*packet.body_as_ObjectPush());
         case peer::Body::ObjectAnnounce: {
             const peer::ObjectAnnounce& body = *packet.body_as_ObjectAnnounce();
-            return fleet::ObjectAnnounce { .facts = readFacts<fleet::ObjectFact>(body.facts()), .silent = body.silent() };
+            return fleet::ObjectAnnounce { .facts = readFacts<fleet::ObjectFact>(body.facts()), .catalogue = body.catalogue() };
         }
         case peer::Body::ObjectsWanted:
             return fleet::ObjectsWanted { .ids = readIds<fleet::ObjectId>(packet.body_as_ObjectsWanted()->ids()) };
--- a/src/wire/peer_encode.cpp
+++ b/src/wire/peer_encode.cpp
@@ -136,7 +136,7 @@
         }
         Packed operator()(const fleet::ObjectAnnounce& body) const
         {
-            return this->finish(peer::CreateObjectAnnounce(this->builder, packFacts(this->builder, body.facts), body.silent));
+            return this->finish(peer::CreateObjectAnnounce(this->builder, packFacts(this->builder, body.facts), body.catalogue));
         }
         Packed operator()(const fleet::ObjectsWanted& body) const { return this->finish(peer::CreateObjectsWanted(this->builder, packIds(this->builder, body.ids))); }
         Packed operator()(const fleet::CatalogueWanted&) const { return this->finish(peer::CreateCatalogueWanted(this->builder)); }
