--- a/src/request/earliest_answer.cpp
+++ b/src/request/earliest_answer.cpp
@@ -89,7 +89,8 @@
 }
 
 // The cheapest candidate, within the bounds on how fast regions' shares change. A region that is behind its share
-// goes first if it is in time. Regions that have no usable server bind nothing.
+// goes first if it is in time. Regions that have no usable server bind nothing. A request that is late there goes to the
+// cheapest idle slot instead of waiting.
 std::optional<EarliestAnswer::Candidate> EarliestAnswer::pick(const Wanted& wanted, const Choices& choices, core::TimePoint now)
 {
     const std::uint64_t pool = poolOf(wanted.classEntry());
@@ -110,12 +111,11 @@
     };
     const std::optional<core::RegionIndex> allowed = cheapestRegion(choices, isAllowed);
     const Candidate& best = *choices[allowed.value_or(*cheapest).value];
-    // A request that is late everywhere gains nothing by waiting for its nearest server.
     const std::optional<core::RegionIndex> idle = cheapestRegion(choices, [&](const Candidate& candidate) { return candidate.hasRoom && isAllowed(candidate); });
     return best.inTime || best.hasRoom || !idle ? best : choices[idle->value];
 }
 
-// The slots of a service by region, as one table has them. A change tells the pace of the regions' shares.
+// The slots of a service by region, as one table has them. A change lets the regions' shares change at once.
 const EarliestAnswer::Supply& EarliestAnswer::supplyOf(const Wanted& wanted, core::TimePoint now)
 {
     const core::SteeringTable& table = wanted.table;
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -37,8 +37,8 @@
     // All objects of a kind. The version is that of the first part, so a watch from there misses nothing.
     boost::asio::awaitable<ObjectBatch> list(std::string kind);
 
-    // Waits at most `wait` for changes after version `from`; an empty batch if there was none. While the store counts as
-    // down, the answer is not waited for. One attempt only.
+    // Waits at most `wait` for changes after version `from`; an empty batch if there was none. Doesn't wait while the
+    // store counts as down. One attempt only.
     // Also throws HistoryGone.
     boost::asio::awaitable<ObjectBatch> watch(std::string kind, std::uint64_t from, core::Duration wait);
 
