Bound the shift between regions for the sum of many small entry VMs

Besides, with three regions two could lose the step each while one gained both: the shares moved at 0.10 a second, not 0.05.

Change: each request adds the reference shares to the credit of the regions and the region that gets it pays one request, from the first request on. Region gains together are bounded by the step.

Test: 63 VMs with 7 requests a second, preference from far to near after 2 s.

--- a/src/request/region_share_limiter.cpp
+++ b/src/request/region_share_limiter.cpp
@@ -18,17 +18,26 @@
 {
     const double passed = std::clamp(seconds(now - service.updatedAt), 0.0, seconds(this->options.window));
     service.updatedAt = now;
-    const double kept = std::exp(-passed / seconds(this->options.window));
     const double step = this->options.maxStepPerSecond * passed;
+    const double kept = std::exp(-passed / seconds(this->options.window));
     service.total *= kept;
-    const bool isSuspended = now < service.suspendedUntil;
-    for (std::size_t i = 0; i < service.reference.size(); ++i) {
-        service.counted[i] *= kept;
-        if (isSuspended && service.total > 0)
-            service.reference[i] = service.counted[i] / service.total;
-        else
-            service.reference[i] += std::clamp(service.preferred[i] - service.reference[i], -step, step);
-    }
+    for (double& count : service.counted)
+        count *= kept;
+    if (now >= service.suspendedUntil)
+        moveReference(service, step);
+    else if (service.total > 0)
+        std::ranges::transform(service.counted, service.reference.begin(), [&](double count) { return count / service.total; });
+}
+
+// Moves the reference towards the preferred shares. All regions together gain at most `maxStep`, and lose as much.
+void RegionShareLimiter::moveReference(Service& service, double maxStep)
+{
+    double gained = 0;
+    for (std::size_t i = 0; i < service.reference.size(); ++i)
+        gained += std::max(0.0, service.preferred[i] - service.reference[i]);
+    const double factor = gained > maxStep ? maxStep / gained : 1;
+    for (std::size_t i = 0; i < service.reference.size(); ++i)
+        service.reference[i] += factor * (service.preferred[i] - service.reference[i]);
 }
 
 void RegionShareLimiter::recordPreference(std::uint64_t serviceKey, core::RegionIndex region, const std::vector<double>& initial, core::TimePoint now)
@@ -36,7 +45,7 @@
     const auto [entry, added] = this->services.try_emplace(serviceKey);
     Service& service = entry->second;
     if (added || service.reference.size() != initial.size())
-        service = { .reference = initial, .preferred = initial, .counted = std::vector<double>(initial.size(), 0), .total = 0, .updatedAt = now };
+        service = { .reference = initial, .preferred = initial, .credit = std::vector<double>(initial.size(), 0), .counted = std::vector<double>(initial.size(), 0), .total = 0, .updatedAt = now };
     this->advance(service, now);
     // Weight of one request, so that the average covers the requests within preferenceAveragingTime.
     const double rate = std::max(1.0, service.total / seconds(this->options.window));
@@ -54,7 +63,7 @@
 const RegionShareLimiter::Service* RegionShareLimiter::findLimiting(std::uint64_t serviceKey, core::TimePoint now) const
 {
     const auto found = this->services.find(serviceKey);
-    const bool isLimiting = found != this->services.end() && found->second.total >= this->options.minRequests && now >= found->second.suspendedUntil;
+    const bool isLimiting = found != this->services.end() && now >= found->second.suspendedUntil;
     return isLimiting ? &found->second : nullptr;
 }
 
@@ -63,7 +72,8 @@
     const Service* service = this->findLimiting(serviceKey, now);
     if (!service)
         return true;
-    return (service->counted[region.value] + 1) / (service->total + 1) <= service->reference[region.value] + this->options.tolerance;
+    const double debt = 1 - service->reference[region.value] - service->credit[region.value];
+    return debt <= std::max(this->options.tolerance * service->total, this->options.minDebt);
 }
 
 std::optional<core::RegionIndex> RegionShareLimiter::regionBehindShare(std::uint64_t serviceKey, core::TimePoint now) const
@@ -72,12 +82,12 @@
     if (!service)
         return std::nullopt;
     std::optional<core::RegionIndex> furthest;
-    double maxGap = this->options.tolerance;
+    double maxCredit = this->options.tolerance * service->total;
     for (std::uint32_t i = 0; i < service->reference.size(); ++i) {
-        const double gap = service->reference[i] - service->counted[i] / service->total;
-        if (gap <= maxGap)
+        const double credit = service->credit[i] + service->reference[i];
+        if (credit <= maxCredit)
             continue;
-        maxGap = gap;
+        maxCredit = credit;
         furthest = core::RegionIndex { i };
     }
     return furthest;
@@ -88,9 +98,13 @@
     const auto found = this->services.find(serviceKey);
     if (found == this->services.end())
         return;
-    this->advance(found->second, now);
-    found->second.counted[region.value] += 1;
-    found->second.total += 1;
+    Service& service = found->second;
+    this->advance(service, now);
+    service.counted[region.value] += 1;
+    service.total += 1;
+    const double kept = 1 - 1 / std::max(service.total, this->options.creditRequests);
+    for (std::size_t i = 0; i < service.credit.size(); ++i)
+        service.credit[i] = kept * (service.credit[i] + service.reference[i] - (i == region.value ? 1 : 0));
 }
 
 }
--- a/src/request/region_share_limiter.h
+++ b/src/request/region_share_limiter.h
@@ -12,17 +12,24 @@
 //
 // Choosing by expected time alone reacts to every load change at once: a region that is full for a moment sends half of
 // its requests to other regions and takes them back two seconds later, which disturbs the servers there. Therefore each
-// service has reference shares that follow the preferred regions at a bounded rate, and the shares of the requests
-// within a window stay close to the reference.
+// service has reference shares that follow the preferred regions at a bounded rate, and the shares of the recent
+// requests stay close to the reference.
+//
+// The fleet's share changes by the sum of what its entry VMs do, and they learn of a change at the same moment. So the
+// bound must hold for each of them from its first request on, although in a large fleet each gets only a few requests a
+// second. Therefore each request adds its reference shares to the credit of the regions, and the region that gets it
+// pays one request.
 class RegionShareLimiter {
 public:
     struct Options {
         core::Duration window = std::chrono::seconds(1); // time constant of the request counts
-        double tolerance = 0.04; // allowed difference between a window's share and its reference
-        double maxStepPerSecond = 0.05; // maximum change of a reference share
+        // Credit and debt that a region may have, relative to the requests of a window.
+        double tolerance = 0.04;
+        double minDebt = 1; // requests of debt that a region may always have
+        double creditRequests = 25; // credit and debt are forgotten over at least this many requests
+        double maxStepPerSecond = 0.05; // share of the requests that can change their region
         core::Duration preferenceAveragingTime = std::chrono::seconds(1); // time constant of the preference average
         core::Duration suspension = std::chrono::seconds(6); // how long shares are unlimited after a change of the servers
-        double minRequests = 8; // in a window; below this the shares are too inaccurate to enforce
     };
 
     explicit RegionShareLimiter(Options limitOptions)
@@ -49,6 +56,7 @@
     struct Service {
         std::vector<double> reference; // by RegionIndex, sums to 1
         std::vector<double> preferred; // by RegionIndex, moving average of the preferences
+        std::vector<double> credit; // by RegionIndex, in requests
         std::vector<double> counted; // by RegionIndex, requests sent, exponentially decayed over the window
         double total = 0; // sum of `counted`
         core::TimePoint updatedAt {};
@@ -56,6 +64,7 @@
     };
 
     void advance(Service&, core::TimePoint now) const;
+    static void moveReference(Service&, double maxStep);
     // The service if its shares are limited at this time, else nullptr.
     const Service* findLimiting(std::uint64_t serviceKey, core::TimePoint now) const;
 
--- a/tests/pure/earliest_answer.cpp
+++ b/tests/pure/earliest_answer.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 #include "request/engine.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <map>
 #include <set>
@@ -316,3 +317,60 @@
     limit.suspend(service, now);
     CHECK(farShare(100, near) == 0);
 }
+
+// Guards against a jump of a region's share in a large fleet, where each entry VM gets a few requests a second and all
+// see the same at the same time: at the start of traffic the servers are cold, and two seconds later the objects are
+// warm in the callers' own region.
+TEST_CASE("the shares of a fleet of small entry VMs change in bounded steps", "[shift-limit]")
+{
+    constexpr std::size_t vmCount = 63;
+    constexpr double requestsPerSecond = 7; // of one entry VM
+    constexpr double maxShift = 0.15; // of a region's requests, from one window of 2 s to the next
+    constexpr std::uint64_t service = 1;
+    constexpr std::size_t windowSteps = 20; // of 100 ms
+    const std::vector<double> initialShares { 0.3, 0.32, 0.38 };
+    std::vector<request::RegionShareLimiter> limits(vmCount, request::RegionShareLimiter({}));
+    core::RandomEngine random(GENERATE(1, 2, 3));
+    std::exponential_distribution<double> pause(requestsPerSecond);
+    std::uniform_int_distribution<std::uint32_t> anyFarRegion(1, 2);
+    const auto later = [&](core::TimePoint from) { return from + std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(pause(random))); };
+    constexpr core::TimePoint start { 1h };
+    std::vector<core::TimePoint> nextRequest;
+    for (std::size_t i = 0; i < vmCount; ++i)
+        nextRequest.push_back(later(start));
+    std::vector<std::array<double, 3>> sentByStep;
+    for (core::TimePoint now = start; now < start + 20s; now += 100ms) {
+        std::array<double, 3>& sent = sentByStep.emplace_back();
+        for (std::size_t vm = 0; vm < vmCount; ++vm) {
+            for (; nextRequest[vm] < now + 100ms; nextRequest[vm] = later(nextRequest[vm])) {
+                const core::TimePoint at = nextRequest[vm];
+                const core::RegionIndex preferred { at < start + 2s ? anyFarRegion(random) : 0 };
+                limits[vm].recordPreference(service, preferred, initialShares, at);
+                core::RegionIndex chosen = preferred;
+                for (std::uint32_t i = 0; i < 3 && !limits[vm].allows(service, chosen, at); ++i)
+                    chosen = core::RegionIndex { i };
+                chosen = limits[vm].regionBehindShare(service, at).value_or(chosen);
+                limits[vm].recordSent(service, chosen, at);
+                sent[chosen.value] += 1;
+            }
+        }
+    }
+    const auto shareIn = [&](std::size_t from, std::size_t region) {
+        double count = 0;
+        double total = 0;
+        for (std::size_t step = from; step < from + windowSteps; ++step) {
+            count += sentByStep[step][region];
+            total += sentByStep[step][0] + sentByStep[step][1] + sentByStep[step][2];
+        }
+        return count / total;
+    };
+    double largestShift = 0;
+    for (std::size_t from = 0; from + 2 * windowSteps <= sentByStep.size(); ++from) {
+        double shift = 0;
+        for (std::size_t region = 0; region < 3; ++region)
+            shift += std::max(0.0, shareIn(from + windowSteps, region) - shareIn(from, region));
+        largestShift = std::max(largestShift, shift);
+    }
+    CHECK(largestShift < maxShift);
+    CHECK(shareIn(sentByStep.size() - windowSteps, 0) > 0.9);
+}
