Keep the new promises towards backend servers; bound what they can send

Server-Leaving on any answer marks that run of the server (name and start) as leaving in the control pipeline, so no new work goes there within about a second, with the store up or away, whatever the list says later. Peers are not told: the mark would need the server's start, and each VM hears it from its own answers or from the store.

Retry-After on a 503 pauses the server for the whole process (ServerPauses). Before, fractions were read as whole seconds, more than 2 s was cut, another answer from the server ended the pause, and each traffic thread paused for itself. After a pause, requests return one by one; a request whose servers all pause is rejected at once and told when the pause ends.

Bytes without end: interim answers, answers to earlier requests, unparsed bytes (chunk extensions, trailers) and the body of a refusal had no bound besides the deadline, and a relayed answer none at all. Each has one now. An answer that breaks off ends with a reset for HTTP/1.0 callers, where an orderly close looked complete.

The idle timeout that a server states was removed before it was read.

--- a/src/app/control_loop_impl.h
+++ b/src/app/control_loop_impl.h
@@ -125,7 +125,7 @@
 template <InputFeed FeedType>
 void ControlLoop<FeedType>::record(const request::AttemptObserved& observed)
 {
-    this->state.inputs.attempts.push_back({ .server = observed.server, .at = wire::steadyNow(), .result = observed.result, .elapsed = observed.elapsed, .length = observed.length });
+    this->state.inputs.attempts.push_back({ .server = observed.server, .at = wire::steadyNow(), .result = observed.result, .elapsed = observed.elapsed, .length = observed.length, .leaving = observed.isServerLeaving, .serverKey = observed.serverKey });
     if (observed.result == core::AttemptResult::Answered)
         this->demandMeter.addAttempt(observed.className, observed.slotTime);
 }
--- a/src/control/pipeline_types.h
+++ b/src/control/pipeline_types.h
@@ -32,6 +32,7 @@
     core::Duration elapsed {}; // from sending until the head of the answer, or until the end if there was none
     core::WorkLength length = core::WorkLength::Short;
     bool leaving = false; // the answer reported that the server is leaving
+    std::uint64_t serverKey = 0; // of the server at that time, see core::serverKey()
 };
 
 // The demand for one class at this VM, exponentially smoothed with a time constant of some seconds.
--- a/src/control/server_list.cpp
+++ b/src/control/server_list.cpp
@@ -1,11 +1,17 @@
 #include "control/server_list.h"
 
+#include "core/server_key.h"
+
 #include <algorithm>
 
 namespace cranberryshed::control {
 
 namespace {
 
+    // How long the mark of a leaving server is kept after its last mention. An entry that expired while the store was
+    // unavailable can be listed again later.
+    constexpr core::Duration leavingMarkRetention = std::chrono::minutes(10);
+
     const core::ServiceDeclaration* findService(const core::Declarations& declarations, const std::string& name)
     {
         const auto found = std::ranges::find(declarations.services, name, &core::ServiceDeclaration::name);
@@ -34,6 +40,7 @@
     if (!inputs.declarations)
         return Step::end(SkipReason::NoDeclarations);
     this->trackEvacuations(inputs, now);
+    this->trackLeavingServers(inputs, now);
     Context context { .inputs = std::move(inputs) };
     const std::optional<std::uint32_t> self = findDomainIndex(context.declarations(), context.inputs.selfDomain);
     if (!self)
@@ -68,12 +75,27 @@
     this->evacuated = inputs.evacuated;
 }
 
+void ApplyServerList::trackLeavingServers(const ControlInputs& inputs, core::TimePoint now)
+{
+    for (const AttemptReport& attempt : inputs.attempts) {
+        if (attempt.leaving)
+            this->leavingServers[attempt.serverKey] = now;
+    }
+    if (this->leavingServers.empty())
+        return;
+    for (const core::ServerListing& listing : inputs.serverList.servers) {
+        if (const auto found = this->leavingServers.find(core::serverKey(listing)); found != this->leavingServers.end())
+            found->second = now;
+    }
+    std::erase_if(this->leavingServers, [&](const auto& mark) { return now - mark.second > leavingMarkRetention; });
+}
+
 // The servers of a failure domain whose evacuation is revoked can have restarted while they got no requests, so they
 // count as cold for their service's cold start time from then on.
 BackendServer ApplyServerList::serverOf(const Context& context, const core::ServerListing& listing, core::DomainIndex domain, core::TimePoint now) const
 {
     BackendServer server { .listing = listing, .region = regionOf(context.declarations(), domain), .domain = domain };
-    if (listing.leaving || this->evacuated.contains(listing.domain)) {
+    if (listing.leaving || this->evacuated.contains(listing.domain) || this->leavingServers.contains(core::serverKey(listing))) {
         server.state = core::ServerState::Leaving;
         server.warmth = 0;
     }
--- a/src/request/answer.h
+++ b/src/request/answer.h
@@ -23,6 +23,8 @@
         found->second.headAt = now;
         if (event.isComplete)
             this->state.releaseSlot(found->second);
+        if (event.retryAfter)
+            this->state.shared.pauses->pause(found->second.serverEntry().key, *event.retryAfter, now);
         ActiveRequest* request = this->state.find(event.request);
         if (!request || found->second.cancelledAt || request->relayedAttempt)
             return Next<AnswerHead>::end({});
--- a/src/request/attempt_end.cpp
+++ b/src/request/attempt_end.cpp
@@ -53,8 +53,11 @@
     const core::ServerEntry& server = attempt.serverEntry();
     const core::Duration elapsed = attempt.headAt.value_or(now) - attempt.sentAt;
     ClassState& classState = *attempt.classState;
-    this->state.recentFailures.record(server.key, ended.event.result, ended.event.retryAfter, now);
-    this->state.observe(AttemptObserved { .server = server.name, .result = ended.event.result, .elapsed = elapsed, .length = classState.length, .className = classState.demand.className, .slotTime = now - attempt.sentAt });
+    this->state.recentFailures.record(server.key, ended.event.result, now);
+    this->state.shared.pauses->recordEnd(server.key, attempt.sentAt, ended.event.result);
+    if (ended.event.retryAfter)
+        this->state.shared.pauses->pause(server.key, *ended.event.retryAfter, now);
+    this->state.observe(AttemptObserved { .server = server.name, .result = ended.event.result, .elapsed = elapsed, .length = classState.length, .className = classState.demand.className, .slotTime = now - attempt.sentAt, .serverKey = server.key, .isServerLeaving = ended.event.isServerLeaving });
     if (ended.event.result == core::AttemptResult::Answered) {
         this->state.slotTimes.add(classState.classKey, now - attempt.sentAt);
         classState.headLatency.add(elapsed);
--- a/src/request/choose_server.h
+++ b/src/request/choose_server.h
@@ -26,9 +26,7 @@
     {
         ActiveRequest& request = *attempt.request;
         const Context& context = request.context;
-        Exclusions excluded;
-        if (!request.triedServers.empty() || !this->state.recentFailures.isEmpty())
-            excluded = this->state.recentFailures.exclusions(*context.table, context.classIndex, request.triedServers, now);
+        const Exclusions excluded = this->state.exclusionsFor(request, now);
         // While other requests are queued, a new request is queued too; the capacity pipe runs right afterwards.
         const bool mustQueue = attempt.reason == AttemptReason::First && this->state.queue.arrivalsMustWait();
         if (excluded.hasCandidates && !mustQueue) {
@@ -53,6 +51,8 @@
     void waitOrReject(ActiveRequest& request, const Exclusions& excluded, core::TimePoint now) const
     {
         const core::ClassEntry& entry = request.context.classEntry();
+        if (excluded.retryAfter == core::Duration::zero() && !excluded.hasCandidates)
+            return this->wait(request, now); // a server will take it as soon as one of its requests has ended
         if (excluded.retryAfter && !excluded.hasCandidates)
             return this->state.reject(request, core::ErrorKind::ServerRefused, now, excluded.retryAfter);
         const bool usable = std::ranges::any_of(entry.servers, [&](core::ServerIndex index) { return isActiveOrWarming(request.context.table->at(index)); });
--- a/src/request/events.h
+++ b/src/request/events.h
@@ -41,6 +41,7 @@
     std::uint16_t status = 0;
     bool isComplete = false; // the front end has received the whole answer, so the server's slot is free
     std::optional<LoadSample> load {};
+    std::optional<core::Duration> retryAfter {}; // the time for which the server wants no more requests from this VM
 };
 
 // An attempt has ended, with or without an answer.
@@ -49,10 +50,11 @@
     core::AttemptId attempt;
     core::AttemptResult result;
     std::uint16_t status = 0; // of the answer; 0: no answer
-    std::optional<core::Duration> retryAfter; // the backend server's hint when to come back
+    std::optional<core::Duration> retryAfter; // the time for which the server wants no more requests from this VM
     std::optional<LoadSample> load {};
     std::uint64_t bytes = 0; // of the answer's body
     std::optional<core::Duration> connectTime {}; // time to open a new connection; none: no new one was opened
+    bool isServerLeaving = false; // the answer states that the server is leaving
 };
 
 // The caller closed its connection before the answer was complete. The front end keeps the attempts in flight until
@@ -137,6 +139,8 @@
     core::WorkLength length = core::WorkLength::Short;
     std::string className {};
     core::Duration slotTime {}; // time from sending the attempt to its end
+    std::uint64_t serverKey = 0; // ServerEntry::key
+    bool isServerLeaving = false; // the answer states that the server is leaving
 };
 
 // A backend server broke a connection without an answer while it ran these requests.
--- a/src/request/isolate.cpp
+++ b/src/request/isolate.cpp
@@ -68,7 +68,7 @@
 std::vector<core::ServerIndex> IsolateSuspects::candidates(const ActiveRequest& request, core::TimePoint now) const
 {
     const Context& context = request.context;
-    const Exclusions excluded = this->state.recentFailures.exclusions(*context.table, context.classIndex, request.triedServers, now);
+    const Exclusions excluded = this->state.exclusionsFor(request, now);
     using Rank = std::tuple<bool, bool, bool, std::uint32_t, std::uint64_t, core::ServerIndex>;
     std::vector<Rank> ranks;
     for (core::ServerIndex index : context.classEntry().servers) {
--- a/src/request/recent_failures.cpp
+++ b/src/request/recent_failures.cpp
@@ -11,7 +11,7 @@
 
 }
 
-void RecentFailures::record(std::uint64_t serverKey, core::AttemptResult result, std::optional<core::Duration> retryAfter, core::TimePoint now)
+void RecentFailures::record(std::uint64_t serverKey, core::AttemptResult result, core::TimePoint now)
 {
     switch (result) {
     case core::AttemptResult::Answered:
@@ -19,7 +19,7 @@
             this->states.erase(serverKey);
         break;
     case core::AttemptResult::Refused:
-        this->states[serverKey].refusingUntil = now + std::min(retryAfter.value_or(this->options.defaultRefusalPause), this->options.maxRetryAfter);
+        this->states[serverKey].refusingUntil = now + this->options.refusalPause;
         break;
     case core::AttemptResult::Misdirected:
         this->states[serverKey].refusingUntil = now + this->options.misdirectedPause;
@@ -44,7 +44,18 @@
     state.pausedUntil = now + state.pause;
 }
 
-Exclusions RecentFailures::exclusions(const core::SteeringTable& table, core::ClassIndex classIndex, std::span<const std::uint64_t> tried, core::TimePoint now) const
+// The rest of a server's pause, whether after a refusal or because the server asked for it; nothing if it has none.
+std::optional<core::Duration> RecentFailures::remainingPause(const State* state, const ServerPauses::Remaining& paused, std::uint64_t serverKey, core::TimePoint now)
+{
+    std::optional<core::Duration> rest;
+    if (state && state->refusingUntil > now)
+        rest = state->refusingUntil - now;
+    if (const auto found = paused.find(serverKey); found != paused.end())
+        rest = std::max(rest.value_or(core::Duration::zero()), found->second);
+    return rest;
+}
+
+Exclusions RecentFailures::exclusions(const core::SteeringTable& table, core::ClassIndex classIndex, std::span<const std::uint64_t> tried, const ServerPauses::Remaining& paused, core::TimePoint now) const
 {
     const core::ClassEntry& entry = table.at(classIndex);
     const std::vector<bool> failed = this->failedDomains(table, entry, now);
@@ -54,15 +65,15 @@
     for (core::ServerIndex index : entry.servers) {
         const core::ServerEntry& server = table.at(index);
         const State* state = this->find(server.key);
-        const bool isRefusing = state && state->refusingUntil > now;
-        if (std::ranges::find(tried, server.key) != tried.end() || isRefusing)
+        const std::optional<core::Duration> pause = remainingPause(state, paused, server.key, now);
+        if (std::ranges::find(tried, server.key) != tried.end() || pause)
             result.servers.push_back(index);
         else if (failed[server.domain.value] || (state && state->pausedUntil > now))
             fallback.push_back(index);
         else if (isActiveOrWarming(server))
             ++candidates;
-        if (isRefusing && isActiveOrWarming(server))
-            result.retryAfter = std::min(result.retryAfter.value_or(core::Duration::max()), core::Duration(state->refusingUntil - now));
+        if (pause && isActiveOrWarming(server))
+            result.retryAfter = std::min(result.retryAfter.value_or(core::Duration::max()), *pause);
     }
     if (candidates > 0)
         result.servers.insert(result.servers.end(), fallback.begin(), fallback.end());
--- a/src/request/recent_failures.h
+++ b/src/request/recent_failures.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "core/steering_table.h"
+#include "request/server_pauses.h"
 
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -12,7 +14,7 @@
 struct Exclusions {
     std::vector<core::ServerIndex> servers;
     bool hasCandidates = true; // at least one active or warming server of the class is not excluded
-    std::optional<core::Duration> retryAfter; // shortest remaining pause of the servers that refused requests
+    std::optional<core::Duration> retryAfter; // shortest remaining pause of the servers that refused requests or asked for a pause
 };
 
 // Recent failures of backend servers, as observed by one traffic thread. Covers the time until control has ejected a
@@ -25,10 +27,9 @@
         // a server is excluded for this time after a failure, doubled for each further one.
         core::Duration minPause = std::chrono::milliseconds(50);
         core::Duration maxPause = std::chrono::seconds(1);
-        core::Duration defaultRefusalPause = std::chrono::milliseconds(50); // after a refusal without a Retry-After
+        core::Duration refusalPause = std::chrono::milliseconds(50); // after a refusal
         // The server list is outdated; the new owner of the address will appear in it soon.
         core::Duration misdirectedPause = std::chrono::seconds(5);
-        core::Duration maxRetryAfter = std::chrono::seconds(2); // a longer Retry-After could be an error of the server
     };
 
     explicit RecentFailures(Options failureOptions)
@@ -36,11 +37,12 @@
     {
     }
 
-    void record(std::uint64_t serverKey, core::AttemptResult, std::optional<core::Duration> retryAfter, core::TimePoint now);
+    void record(std::uint64_t serverKey, core::AttemptResult, core::TimePoint now);
 
-    // Returns the servers that were already tried for a request and those that pause after a refusal. Also excludes
-    // servers that just failed and those of a failure domain that failed as a whole, unless no other server remains.
-    Exclusions exclusions(const core::SteeringTable&, core::ClassIndex, std::span<const std::uint64_t> tried, core::TimePoint now) const;
+    // Returns the servers that were already tried for a request, those that pause after a refusal and those in `paused`.
+    // Also excludes servers that just failed and those of a failure domain that failed as a whole, unless no other
+    // server remains.
+    Exclusions exclusions(const core::SteeringTable&, core::ClassIndex, std::span<const std::uint64_t> tried, const ServerPauses::Remaining& paused, core::TimePoint now) const;
 
     // Whether the server had a failure within failureMemory and no success since.
     bool isFailing(std::uint64_t serverKey, core::TimePoint now) const;
@@ -57,6 +59,7 @@
         core::TimePoint refusingUntil {};
     };
 
+    static std::optional<core::Duration> remainingPause(const State*, const ServerPauses::Remaining&, std::uint64_t serverKey, core::TimePoint now);
     void onFailure(State&, core::TimePoint now) const;
     const State* find(std::uint64_t serverKey) const;
     std::vector<bool> failedDomains(const core::SteeringTable&, const core::ClassEntry&, core::TimePoint now) const;
--- a/src/request/state.cpp
+++ b/src/request/state.cpp
@@ -21,7 +21,7 @@
 
 SharedState makeSharedState(std::string_view member, core::Incarnation incarnation, std::uint64_t seed, KeyOptions keys, CrashOptions crashes)
 {
-    return { .keys = std::make_shared<KeyRegistry>(core::hashBytes(member), incarnation, keys, seed), .crashes = std::make_shared<CrashRegistry>(crashes) };
+    return { .keys = std::make_shared<KeyRegistry>(core::hashBytes(member), incarnation, keys, seed), .crashes = std::make_shared<CrashRegistry>(crashes), .pauses = std::make_shared<ServerPauses>(ServerPauses::Options {}) };
 }
 
 State::State(EngineOptions engineOptions, SharedState sharedParts, std::uint64_t seed)
@@ -32,8 +32,8 @@
     , recentFailures(engineOptions.recentFailures)
     , headroom(engineOptions.headroom)
 {
-    if (!this->shared.keys || !this->shared.crashes)
-        throw core::Error(core::ErrorKind::BadSettings, "the request engine needs the key registry and the crash registry of its process");
+    if (!this->shared.keys || !this->shared.crashes || !this->shared.pauses)
+        throw core::Error(core::ErrorKind::BadSettings, "the request engine needs the key registry, the crash registry and the server pauses of its process");
 }
 
 void State::setTable(core::SteeringTablePointer newTable)
@@ -172,4 +172,12 @@
     return std::max(1.0, count);
 }
 
+Exclusions State::exclusionsFor(const ActiveRequest& request, core::TimePoint now) const
+{
+    const ServerPauses::Remaining paused = this->shared.pauses->remaining(now);
+    if (request.triedServers.empty() && this->recentFailures.isEmpty() && paused.empty())
+        return {};
+    return this->recentFailures.exclusions(*request.context.table, request.context.classIndex, request.triedServers, paused, now);
+}
+
 }
--- a/src/request/state.h
+++ b/src/request/state.h
@@ -9,6 +9,7 @@
 #include "request/retry.h"
 #include "request/retry_allowance.h"
 #include "request/selected_queue.h"
+#include "request/server_pauses.h"
 #include "request/slot_times.h"
 
 #include <deque>
@@ -46,6 +47,7 @@
 struct SharedState {
     std::shared_ptr<KeyRegistry> keys;
     std::shared_ptr<CrashRegistry> crashes;
+    std::shared_ptr<ServerPauses> pauses;
 };
 
 // Creates the shared state for one incarnation of the entry VM `member`. The seed generates the nonces of request
@@ -162,6 +164,9 @@
     // least 1.
     double laneSlotsHeld(const ClassState&) const;
 
+    // The servers that the request's next attempt must not use.
+    Exclusions exclusionsFor(const ActiveRequest&, core::TimePoint now) const;
+
     const EngineOptions options;
     SharedState shared;
     core::RandomEngine random;
--- a/src/request/sweep.cpp
+++ b/src/request/sweep.cpp
@@ -14,6 +14,7 @@
     this->reportDemand();
     this->state.recentFailures.forgetExpired(now);
     this->state.shared.crashes->forgetExpired(now);
+    this->state.shared.pauses->forgetExpired(now);
     return Next<Done>::pass({});
 }
 
--- a/src/wire/dialect.h
+++ b/src/wire/dialect.h
@@ -44,6 +44,10 @@
     {
         Candidate::reportedLoad(answer)
         } -> std::same_as<std::optional<request::LoadSample>>;
+    // Whether the answer states that its server is leaving, so that it should get no more requests.
+    {
+        Candidate::announcesLeaving(answer)
+        } -> std::same_as<bool>;
     {
         Candidate::errorResponse(reject)
         } -> std::same_as<TextResponse>;
@@ -60,6 +64,7 @@
     static void setBackendFields(RequestHeader&, const BackendAttempt&, core::Duration timeLeft);
     static AnswerMatch matchAnswer(const http::response_header<>&, const RequestHeader&, bool firstAnswer);
     static std::optional<request::LoadSample> reportedLoad(const http::response_header<>&) { return std::nullopt; }
+    static bool announcesLeaving(const http::response_header<>&) { return false; }
     static TextResponse errorResponse(const request::Reject& reject) { return wire::errorResponse(reject); }
 };
 
--- a/src/wire/exchange.h
+++ b/src/wire/exchange.h
@@ -31,6 +31,7 @@
     bool requestSent = false; // the whole request was sent; otherwise the connection cannot be reused
     bool cancelled = false;
     bool isRelayed = false; // the engine chose this attempt's answer
+    bool isServerLeaving = false; // the answer stated that the server is leaving
 
     // Closes the connection, which ends every wait on it. The backend server treats the close as a cancellation.
     void cancel()
@@ -66,6 +67,7 @@
     std::uint64_t objectHash = 0; // hash of the object that the request needs, for logs; 0: unknown
     std::string className;
     core::TimePoint arrivedAt {};
+    core::TimePoint relayUntil = core::TimePoint::max(); // by then the caller has given up by its own statement
 };
 
 }
--- a/src/wire/header.cpp
+++ b/src/wire/header.cpp
@@ -1,7 +1,9 @@
 #include "wire/header.h"
 
 #include <array>
+#include <cctype>
 #include <charconv>
+#include <cmath>
 
 namespace cranberryshed::wire {
 
@@ -91,4 +93,35 @@
     return std::chrono::milliseconds(value);
 }
 
+std::optional<core::Duration> retryAfterField(const Fields& fields)
+{
+    constexpr std::chrono::duration<double> longest = std::chrono::hours(24);
+    const std::string_view text = toStd(fields[http::field::retry_after]);
+    double seconds = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed);
+    if (error == std::errc::result_out_of_range && !text.starts_with('-'))
+        return std::chrono::duration_cast<core::Duration>(longest);
+    if (text.empty() || error != std::errc() || end != text.data() + text.size() || !std::isfinite(seconds) || seconds < 0)
+        return std::nullopt;
+    return std::chrono::duration_cast<core::Duration>(std::min(std::chrono::duration<double>(seconds), longest));
+}
+
+std::string percentEncode(std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    constexpr std::string_view unreservedMarks = "-._~";
+    std::string encoded;
+    for (const char character : text) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (byte < 0x80 && (std::isalnum(byte) != 0 || unreservedMarks.find(character) != std::string_view::npos)) {
+            encoded += character;
+            continue;
+        }
+        encoded += '%';
+        encoded += digits[byte >> 4U];
+        encoded += digits[byte & 0xfU];
+    }
+    return encoded;
+}
+
 }
--- a/src/wire/header.h
+++ b/src/wire/header.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/errors.h"
+#include "core/types.h"
 #include "wire/asio.h"
 
 #include <optional>
@@ -28,7 +29,14 @@
 // Returns the percent-decoded value of a query parameter, or nothing if it is absent.
 std::optional<std::string> queryParameter(std::string_view target, std::string_view name);
 
+// Percent-encodes all characters of a query parameter's value that are not unreserved (RFC 3986, section 2.3).
+std::string percentEncode(std::string_view text);
+
 // Parses a header field as a whole number of milliseconds. Returns nothing if it is absent or not a positive number.
 std::optional<std::chrono::microseconds> millisecondsField(const Fields&, std::string_view name);
 
+// Parses Retry-After as seconds, with or without a fraction. Returns nothing if it is absent, negative or not a number,
+// such as a date; a longer time than a day is returned as a day.
+std::optional<core::Duration> retryAfterField(const Fields&);
+
 }
--- a/src/wire/session_impl.h
+++ b/src/wire/session_impl.h
@@ -19,6 +19,9 @@
 namespace cranberryshed::wire {
 
 inline constexpr std::string_view lookupPath = "/v1/entry";
+// An answer is relayed for this long after the deadline that its caller stated. The clocks of both may differ by the
+// time that the request was on its way.
+inline constexpr core::Duration relayGrace = std::chrono::seconds(1);
 inline constexpr core::Duration refusalTimeout = std::chrono::seconds(1);
 inline constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -144,8 +147,13 @@
             co_await this->writeLastResponse(errorResponseFor(parseErrorKind(error)));
             co_return false;
         }
+        // A request that was read late can be one whose caller has given up meanwhile.
+        if (exchange->bodyComplete && this->hasCallerClosed())
+            co_return false;
         request::RequestArrived arrival = this->makeArrival(*exchange);
         exchange->objectHash = arrival.affinity;
+        if (arrival.deadline)
+            exchange->relayUntil = exchange->arrivedAt + *arrival.deadline + relayGrace;
         if (const std::optional<core::ClassIndex> found = request::matchClass(*this->worker.table(), arrival.host, arrival.method, arrival.target))
             exchange->className = this->worker.table()->at(*found).name;
         prepareForBackend(exchange->header);
@@ -236,9 +244,9 @@
         // A named variable, because g++ 12 destroys an aggregate twice if it is a temporary in a co_await expression.
         const BodySource source { this->stream, this->buffer, this->parser };
         const AttemptHead head = co_await sendAndReadHead<DialectType>(this->worker, *exchange, *attempt, source);
-        request::AttemptEnded ended { .request = exchange->id, .attempt = attempt->id, .result = head.result, .status = head.status, .retryAfter = head.retryAfter, .load = head.load, .connectTime = attempt->connectTime };
+        request::AttemptEnded ended { .request = exchange->id, .attempt = attempt->id, .result = head.result, .status = head.status, .retryAfter = head.retryAfter, .load = head.load, .connectTime = attempt->connectTime, .isServerLeaving = attempt->isServerLeaving };
         if (head.result == core::AttemptResult::Answered) {
-            self->worker.handle(request::AnswerStarted { .request = exchange->id, .attempt = attempt->id, .status = head.status, .isComplete = head.isComplete, .load = head.load });
+            self->worker.handle(request::AnswerStarted { .request = exchange->id, .attempt = attempt->id, .status = head.status, .isComplete = head.isComplete, .load = head.load, .retryAfter = head.retryAfter });
             if (attempt->isRelayed)
                 co_return;
             if (attempt->cancelled)
@@ -270,10 +278,11 @@
         BackendAttempt& attempt = **found;
         const bool keepAlive = this->parser->keep_alive() && this->parser->is_done() && !this->worker.isShuttingDown();
         const std::uint16_t status = static_cast<std::uint16_t>(attempt.parser->get().result_int());
-        const RelayResult result = co_await relayAnswer(this->worker, attempt, this->stream, this->parser->get().version(), keepAlive);
+        const RelayTarget target { .stream = this->stream, .httpVersion = this->parser->get().version(), .keepAlive = keepAlive, .until = exchange.relayUntil };
+        const RelayResult result = co_await relayAnswer(this->worker, attempt, target);
         this->countAnswer(exchange, status, result);
         logAnswered(exchange, status, result.attemptResult, steadyNow());
-        this->worker.handle(request::AttemptEnded { .request = exchange.id, .attempt = attempt.id, .result = result.attemptResult, .status = status, .retryAfter = {}, .load = attempt.load, .bytes = result.bytes, .connectTime = attempt.connectTime });
+        this->worker.handle(request::AttemptEnded { .request = exchange.id, .attempt = attempt.id, .result = result.attemptResult, .status = status, .retryAfter = {}, .load = attempt.load, .bytes = result.bytes, .connectTime = attempt.connectTime, .isServerLeaving = attempt.isServerLeaving });
         co_return result.isCallerReusable&& keepAlive;
     }
 
@@ -288,14 +297,18 @@
         this->stream.socket().async_wait(tcp::socket::wait_read, [self = this->shared_from_this()](error_code error) {
             self->isWatchingCaller = false;
             const std::shared_ptr<Exchange> current = self->watchedExchange.lock();
-            if (error || !current)
-                return;
-            char byte = 0;
-            if (::recv(self->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0)
+            if (!error && current && self->hasCallerClosed())
                 self->worker.handle(request::CallerDisconnected { .request = current->id });
         });
     }
 
+    // Whether the caller has closed its connection and all that it sent before has been read.
+    bool hasCallerClosed()
+    {
+        char byte = 0;
+        return this->buffer.size() == 0 && ::recv(this->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    }
+
     static TextResponse errorResponseFor(core::ErrorKind kind)
     {
         return DialectType::errorResponse({ .request = {}, .error = kind, .key = {}, .retryAfter = {} });
--- a/src/wire/stream_parser.h
+++ b/src/wire/stream_parser.h
@@ -6,6 +6,10 @@
 
 inline constexpr std::size_t readChunkBytes = 16 * 1024; // requested by one read
 
+// Bound on received bytes that the parser can't use yet, such as the start of a header or of a chunk's extensions. The
+// parser itself limits only the header.
+inline constexpr std::size_t maxUnparsedBytes = 256 * 1024;
+
 // Parses the bytes in the buffer and reads from the stream only if the parser needs more. Returns once the parser has
 // made progress: at the end of the header, after a piece of the body, or with an error. The error
 // http::error::need_buffer means that the body's buffer is full and counts as progress.
@@ -19,6 +23,8 @@
             buffer.consume(used);
             if (error != http::error::need_more)
                 co_return error;
+            if (buffer.size() > maxUnparsedBytes)
+                co_return http::error::buffer_overflow;
         }
         auto [error, count] = co_await stream.async_read_some(buffer.prepare(readChunkBytes), useResult);
         buffer.commit(count);
--- a/src/wire/upstream_impl.h
+++ b/src/wire/upstream_impl.h
@@ -158,22 +158,43 @@
     co_return co_await streamBody(worker, attempt, source);
 }
 
-// After this many answers to earlier requests, the attempt counts as broken.
-inline constexpr int maxSkippedAnswers = 4;
+// A server can send bytes that are no answer without end. Beyond these bounds, the attempt counts as broken.
+inline constexpr int maxSkippedAnswers = 4; // answers to earlier requests before the answer to this one
+inline constexpr std::uint64_t maxSkippedBytes = 1024 * 1024; // of the body of an answer to an earlier request
+inline constexpr int maxInterimAnswers = 8; // 1xx, before one final answer
+// For the body of a refusal, which is read only so that its connection can be used again.
+inline constexpr core::Duration refusalBodyTimeout = std::chrono::milliseconds(100);
 
 // Reads up to the end of the next head that is not an interim answer (1xx).
 inline Task<error_code> readFinalHead(Exchange& exchange, BackendAttempt& attempt)
 {
-    do {
+    for (int i = 0; i <= maxInterimAnswers; ++i) {
         attempt.parser = std::make_unique<BackendParser>();
         attempt.parser->body_limit(boost::none);
         attempt.hasNoBody = exchange.header.method() == http::verb::head;
         attempt.parser->skip(attempt.hasNoBody);
         const error_code error = co_await parseHeader(attempt.connection->stream, attempt.connection->buffer, *attempt.parser);
-        if (error)
+        if (error || attempt.parser->get().result_int() / 100 != 1)
             co_return error;
-    } while (attempt.parser->get().result_int() / 100 == 1);
-    co_return error_code();
+    }
+    co_return http::error::bad_status;
+}
+
+// Reads and drops the rest of an answer to an earlier request. Returns false if it can't be read or is too large.
+inline Task<bool> skipBody(BackendAttempt& attempt)
+{
+    const std::unique_ptr<char[]> dropped = makeBuffer(readChunkBytes);
+    std::uint64_t skippedBytes = 0;
+    while (!attempt.parser->is_done()) {
+        auto& body = attempt.parser->get().body();
+        body.data = dropped.get();
+        body.size = readChunkBytes;
+        const error_code error = co_await parseSome(attempt.connection->stream, attempt.connection->buffer, *attempt.parser);
+        skippedBytes += readChunkBytes - body.size;
+        if ((error && error != http::error::need_buffer) || skippedBytes > maxSkippedBytes)
+            co_return false;
+    }
+    co_return true;
 }
 
 // Reads the body until it is complete or `text` has `maxBytes` bytes. Returns the error that ended the read, if any.
@@ -199,7 +220,6 @@
 template <Dialect DialectType>
 Task<AnswerMatch> readMatchingHead(Exchange& exchange, BackendAttempt& attempt)
 {
-    std::string skipped;
     for (int i = 0; i < maxSkippedAnswers; ++i) {
         if (const error_code error = co_await readFinalHead(exchange, attempt)) {
             attempt.failureReason = error.message();
@@ -211,25 +231,13 @@
             attempt.failureReason = "invalid answer: must not be relayed";
         if (match != AnswerMatch::EarlierRequest)
             co_return match;
-        while (!attempt.parser->is_done()) {
-            skipped.clear();
-            if (co_await readBody(attempt, skipped, readChunkBytes))
-                co_return AnswerMatch::Invalid;
-        }
+        if (!co_await skipBody(attempt))
+            break;
     }
+    attempt.failureReason = "too much data of answers to earlier requests";
     co_return AnswerMatch::Invalid;
 }
 
-inline std::optional<core::Duration> retryAfter(const Fields& fields)
-{
-    const std::string_view text = toStd(fields[http::field::retry_after]);
-    unsigned seconds = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
-    if (text.empty() || error != std::errc())
-        return std::nullopt;
-    return std::chrono::seconds(seconds);
-}
-
 // The idle timeout that the server states in Keep-Alive, less 20 %, so that no request is on its way when the server
 // closes the connection. Duration::max() if none is stated.
 inline core::Duration statedIdleTimeout(const Fields& fields)
@@ -279,7 +287,6 @@
     if (!attempt.connection || !attempt.parser->keep_alive() || !attempt.requestSent || attempt.cancelled)
         return;
     attempt.connection->stream.expires_never();
-    attempt.connection->serverIdleTimeout = statedIdleTimeout(attempt.parser->get().base());
     worker.connections().put(attempt.address, std::move(attempt.connection), steadyNow());
 }
 
@@ -310,10 +317,14 @@
         co_return endedWith(AttemptResult::Broken);
     const auto& header = attempt.parser->get().base();
     attempt.load = DialectType::reportedLoad(header);
+    attempt.isServerLeaving = DialectType::announcesLeaving(header);
+    attempt.connection->serverIdleTimeout = statedIdleTimeout(header);
     AttemptHead head { .result = AttemptResult::Answered, .status = static_cast<std::uint16_t>(header.result_int()), .load = attempt.load };
+    if (header.result() == http::status::service_unavailable)
+        head.retryAfter = retryAfterField(header);
     if (match == AnswerMatch::Refused || match == AnswerMatch::Misdirected) {
         head.result = match == AnswerMatch::Refused ? AttemptResult::Refused : AttemptResult::Misdirected;
-        head.retryAfter = retryAfter(header);
+        attempt.connection->stream.expires_after(refusalBodyTimeout);
         if (!co_await readBody(attempt, attempt.bodyPrefix, readChunkBytes) && attempt.parser->is_done())
             returnToPool(worker, attempt);
         co_return head;
@@ -328,13 +339,32 @@
     co_return head;
 }
 
+// The caller's side of a relay.
+struct RelayTarget {
+    Stream& stream;
+    unsigned httpVersion = 11; // as in the caller's request: 10 or 11
+    bool keepAlive = false;
+    core::TimePoint until = core::TimePoint::max(); // the caller waits no longer; ends an answer that has no end
+};
+
+// Closes the caller's connection in the middle of an answer. If only the end of the connection marks the end of the
+// answer, the connection is reset, because after an orderly close the answer would look complete.
+inline void abortCaller(Stream& caller, bool isEndMarked)
+{
+    error_code ignored;
+    if (!isEndMarked)
+        caller.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    caller.close();
+}
+
 // Relays the answer of an attempt to the caller with a buffer of at most relayBufferBytes. If either side fails, the
 // caller's connection is closed before the end of the answer is written, so that the caller can't take it for complete.
-inline Task<RelayResult> relayAnswer(Worker& worker, BackendAttempt& attempt, Stream& caller, unsigned callerVersion, bool keepAlive)
+inline Task<RelayResult> relayAnswer(Worker& worker, BackendAttempt& attempt, RelayTarget target)
 {
+    Stream& caller = target.stream;
     BackendParser& parser = *attempt.parser;
     auto& message = parser.get();
-    const bool isEndMarked = prepareForCaller(attempt, callerVersion, keepAlive);
+    const bool isEndMarked = prepareForCaller(attempt, target.httpVersion, target.keepAlive);
     const std::size_t chunkSize = parser.is_done() ? 0 : std::min<std::uint64_t>(worker.limits().relayBufferBytes, parser.content_length().value_or(worker.limits().relayBufferBytes));
     const std::unique_ptr<char[]> chunk = makeBuffer(chunkSize);
     http::response_serializer<http::buffer_body> serializer(message);
@@ -351,11 +381,12 @@
         } else if (!parser.is_done()) {
             body.data = chunk.get();
             body.size = chunkSize;
-            attempt.connection->stream.expires_after(worker.limits().progressTimeout);
+            const core::TimePoint now = steadyNow();
+            attempt.connection->stream.expires_after(std::min<core::Duration>(worker.limits().progressTimeout, target.until - now));
             const error_code readError = co_await parseSome(attempt.connection->stream, attempt.connection->buffer, parser);
-            if (readError && readError != http::error::need_buffer) {
+            if ((readError && readError != http::error::need_buffer) || now >= target.until) {
                 result.attemptResult = attempt.cancelled ? AttemptResult::Cancelled : AttemptResult::Broken;
-                caller.close();
+                abortCaller(caller, isEndMarked);
                 co_return result;
             }
             body.size = chunkSize - body.size;
@@ -372,7 +403,7 @@
         if (writeError && writeError != http::error::need_buffer) {
             result.attemptResult = AttemptResult::Cancelled;
             attempt.cancel();
-            caller.close();
+            abortCaller(caller, isEndMarked);
             co_return result;
         }
     }
--- a/tests/io/platform_fixture.h
+++ b/tests/io/platform_fixture.h
@@ -22,6 +22,9 @@
 
     std::string address() const { return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()); }
 
+    // How many requests have arrived here, whether or not they were run.
+    unsigned arrivalCount() const { return this->arrivals; }
+
     // How many times the request with this id has run here.
     unsigned runCount(const std::string& request)
     {
@@ -41,6 +44,8 @@
     const std::string name;
     std::atomic<bool> dropsAnswers = false; // runs a request, then closes the connection without an answer
     std::atomic<bool> refusesRequests = false; // answers 503 with Not-Executed and doesn't run the request
+    std::atomic<bool> asksForPause = false; // adds "Retry-After: 1.5" to refusals
+    std::atomic<bool> announcesLeaving = false; // adds Server-Leaving to each answer
 
 private:
     using Request = wire::http::request<wire::http::string_body>;
@@ -76,11 +81,16 @@
         Response response(wire::http::status::ok, 11);
         response.set("Request-Id", id);
         response.set("Server-Load", "1,0,3");
+        ++this->arrivals;
+        if (this->announcesLeaving)
+            response.set("Server-Leaving", "1");
         if (request["Expect-Instance"] != this->name)
             response.result(wire::http::status::misdirected_request);
         else if (this->refusesRequests) {
             response.result(wire::http::status::service_unavailable);
             response.set("Not-Executed", "1");
+            if (this->asksForPause)
+                response.set("Retry-After", "1.5");
         } else {
             const std::scoped_lock lock(this->mutex);
             ++this->runCountById[id];
@@ -92,6 +102,7 @@
 
     asio::io_context& context;
     asio::ip::tcp::acceptor acceptor;
+    std::atomic<unsigned> arrivals = 0;
     std::mutex mutex;
     std::map<std::string, unsigned> runCountById;
 };
@@ -147,9 +158,11 @@
         return this->addresses.back();
     }
 
-    void writeServerEntry(const PlatformServer& server, const std::string& state)
+    void writeServerEntry(const PlatformServer& server, const std::string& state) { this->writeServerEntry(server.name, server.address(), state); }
+
+    void writeServerEntry(const std::string& name, const std::string& address, const std::string& state)
     {
-        this->store.createOrReplace("servers", server.name, R"({"address":")" + server.address() + R"(","born":1776390940126,"info":{"service":"ledger","version":"v1","zone":"north-1","slots":3},"status":{"state":")" + state + R"(","sequence":1,"cold_left":"0ms"}})");
+        this->store.createOrReplace("servers", name, R"({"address":")" + address + R"(","born":1776390940126,"info":{"service":"ledger","version":"v1","zone":"north-1","slots":3},"status":{"state":")" + state + R"(","sequence":1,"cold_left":"0ms"}})");
     }
 
     // Writes a configuration to the store whose unsafe route has the path prefix `writePath`.
--- a/tests/io/raw_server.h
+++ b/tests/io/raw_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio.hpp>
+#include <chrono>
 #include <map>
 #include <string>
 #include <thread>
@@ -14,6 +15,8 @@
     struct Answer {
         std::string bytes;
         bool closeAfter = false; // the end of the connection marks the end of the answer
+        std::string endless {}; // sent after `bytes` again and again, until the other side closes the connection
+        std::chrono::milliseconds endlessInterval {}; // between two pieces of `endless`
     };
 
     explicit RawServer(std::map<std::string, Answer> fixedAnswers)
@@ -58,6 +61,21 @@
             co_await boost::asio::async_write(socket, boost::asio::buffer(answer.bytes), boost::asio::use_awaitable);
             if (answer.closeAfter)
                 co_return;
+            if (!answer.endless.empty())
+                co_await this->sendEndless(socket, answer);
+        }
+    }
+
+    // Returns, by an exception, once the other side has closed the connection.
+    boost::asio::awaitable<void> sendEndless(Socket& socket, const Answer& answer)
+    {
+        boost::asio::steady_timer timer(this->context);
+        for (;;) {
+            co_await boost::asio::async_write(socket, boost::asio::buffer(answer.endless), boost::asio::use_awaitable);
+            if (answer.endlessInterval == std::chrono::milliseconds::zero())
+                continue;
+            timer.expires_after(answer.endlessInterval);
+            co_await timer.async_wait(boost::asio::use_awaitable);
         }
     }
 
--- a/tests/io/serve.cpp
+++ b/tests/io/serve.cpp
@@ -184,3 +184,27 @@
     CHECK(RawClient(restarted.callers).ask(keyed).field("X-Cranberryshed-Run") == "may-have-run");
     CHECK(fixture.runs->runs("order-1") == 1);
 }
+
+// Guards against work for callers that have left: an entry VM that was paused or overloaded reads a request and the end
+// of its connection at the same time, and would send the request on an open connection before it notices the end.
+TEST_CASE("a request whose caller left before it was read is not sent on", "[serve]")
+{
+    VmFixture fixture(1);
+    const ServeProcess vm("vm-1", fixture.store.endpoint(), "");
+    VmFixture::waitForLookup(vm.callers);
+    CHECK(RawClient(vm.callers).ask(get("/stock/1", "X-Work-Id: warm-up\r\n")).status() == 200); // leaves an idle connection
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < 5; ++i) {
+        clients.push_back(std::make_unique<RawClient>(vm.callers));
+        CHECK(clients.back()->ask(get("/stock/1", "X-Work-Id: warm-up\r\n")).status() == 200);
+    }
+    vm.process.signal(SIGSTOP);
+    for (const std::unique_ptr<RawClient>& client : clients)
+        client->send(get("/stock/1", "X-Work-Id: left\r\n"));
+    clients.clear();
+    vm.process.signal(SIGCONT);
+    CHECK(RawClient(vm.callers).ask(get("/stock/1", "X-Work-Id: later\r\n")).status() == 200);
+    std::this_thread::sleep_for(200ms);
+    CHECK(fixture.runs->runs("left") == 0);
+    CHECK(fixture.runs->runs("later") == 1);
+}
--- a/tests/io/vm_fixture.h
+++ b/tests/io/vm_fixture.h
@@ -92,6 +92,29 @@
         return text;
     }
 
+    // What arrived until the connection ended.
+    struct Remainder {
+        std::string start; // the first bytes
+        std::string end; // the last bytes
+        bool wasReset = false; // the connection ended with a reset, not with an orderly close
+    };
+
+    // Reads to the end of the connection. Keeps only some bytes, because there can be gigabytes.
+    Remainder readToEnd()
+    {
+        constexpr std::size_t keptBytes = 1024;
+        Remainder result;
+        while (this->readMore()) {
+            if (result.start.size() < keptBytes)
+                result.start += this->pending.substr(0, keptBytes);
+            result.end = (result.end + this->pending.substr(this->pending.size() - std::min(this->pending.size(), keptBytes)));
+            result.end.erase(0, result.end.size() - std::min(result.end.size(), keptBytes));
+            this->pending.clear();
+        }
+        result.wasReset = errno == ECONNRESET;
+        return result;
+    }
+
     // Whether the peer has closed the connection without sending more bytes. Blocks until it closes or sends.
     bool closed()
     {
@@ -102,6 +125,7 @@
     bool readMore()
     {
         std::array<char, 65536> chunk;
+        errno = 0;
         const ssize_t count = ::recv(this->socket.native_handle(), chunk.data(), chunk.size(), 0);
         if (count <= 0)
             return false;
--- a/tests/pure/retry.cpp
+++ b/tests/pure/retry.cpp
@@ -103,34 +103,35 @@
 {
     const auto table = cranberryshed::rig::makeTable({ .servers = 6, .domains = 3 }); // server i is in domain i % 3
     const auto key = [&](std::uint32_t index) { return table->servers[index].key; };
+    request::ServerPauses pauses({});
     const auto excluded = [&](const request::RecentFailures& failures, std::vector<std::uint64_t> tried, core::TimePoint now) {
         std::vector<std::uint32_t> indexes;
-        for (core::ServerIndex index : failures.exclusions(*table, core::ClassIndex { 0 }, tried, now).servers)
+        for (core::ServerIndex index : failures.exclusions(*table, core::ClassIndex { 0 }, tried, pauses.remaining(now), now).servers)
             indexes.push_back(index.value);
         std::ranges::sort(indexes);
         return indexes;
     };
     request::RecentFailures failures({});
     CHECK(excluded(failures, { key(2) }, start) == std::vector<std::uint32_t> { 2 });
-    failures.record(key(0), core::AttemptResult::Broken, {}, start);
+    failures.record(key(0), core::AttemptResult::Broken, start);
     CHECK(excluded(failures, {}, start) == std::vector<std::uint32_t> { 0 });
-    failures.record(key(3), core::AttemptResult::ConnectFailed, {}, start);
+    failures.record(key(3), core::AttemptResult::ConnectFailed, start);
     CHECK(excluded(failures, {}, start + milliseconds(100)) == std::vector<std::uint32_t> { 0, 3 });
-    failures.record(key(3), core::AttemptResult::Answered, {}, start);
+    failures.record(key(3), core::AttemptResult::Answered, start);
     CHECK(excluded(failures, {}, start + milliseconds(100)).empty());
-    failures.record(key(5), core::AttemptResult::Refused, milliseconds(300), start);
+    pauses.pause(key(5), milliseconds(300), start);
     CHECK(excluded(failures, {}, start + milliseconds(299)) == std::vector<std::uint32_t> { 5 });
     CHECK(excluded(failures, {}, start + milliseconds(300)).empty());
 
     std::vector<std::uint64_t> all;
     for (const core::ServerEntry& server : table->servers) {
         all.push_back(server.key);
-        failures.record(server.key, core::AttemptResult::Refused, milliseconds(200), start);
+        pauses.pause(server.key, milliseconds(200), start);
     }
-    const request::Exclusions none = failures.exclusions(*table, core::ClassIndex { 0 }, {}, start);
+    const request::Exclusions none = failures.exclusions(*table, core::ClassIndex { 0 }, {}, pauses.remaining(start), start);
     CHECK_FALSE(none.hasCandidates);
     CHECK(none.retryAfter == core::Duration(milliseconds(200)));
-    CHECK_FALSE(failures.exclusions(*table, core::ClassIndex { 0 }, all, start + std::chrono::seconds(1)).hasCandidates);
+    CHECK_FALSE(failures.exclusions(*table, core::ClassIndex { 0 }, all, {}, start + std::chrono::seconds(1)).hasCandidates);
 }
 
 // Guards against an estimate that is far from the quantile or does not follow a change of the distribution.
