--- a/src/app/entry_vm.h
+++ b/src/app/entry_vm.h
@@ -34,6 +34,8 @@
     std::uint16_t peerPort = 0; // replaces the ports in `seeds` if those are not peer addresses; 0: `seeds` are used unchanged
     double retryShare = 0; // max. extra attempts per request for a service, over all entry VMs; 0: limited by class
     double retrySlack = 0; // additional extra attempts per window, of all entry VMs; see request::RetryAllowance
+    core::Duration leavingWithin = std::chrono::seconds(2); // after its announcement, a leaving backend server gets no more requests
+    core::Duration configurationWithin = std::chrono::seconds(2); // after its acceptance, a configuration is in force
     core::Duration acceptTimeWhileLeaving = std::chrono::seconds(5); // callers can still hold a cached look-up answer
     core::Duration maxDrainTime = std::chrono::minutes(10); // for requests in flight at a shutdown
 };
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -47,6 +47,11 @@
         KeySchema { "slack", ValueType::Number, false, 0, 1e6 },
     };
 
+    constexpr std::array changeKeys = {
+        KeySchema { "leavingWithin", ValueType::Text },
+        KeySchema { "configurationWithin", ValueType::Text },
+    };
+
     constexpr std::array domainKeys = {
         KeySchema { "name", ValueType::Name, true },
         KeySchema { "region", ValueType::Name, true },
@@ -71,6 +76,7 @@
         KeySchema { "limits", ValueType::Object, false, 0, 0, limitKeys },
         KeySchema { "retries", ValueType::Object, false, 0, 0, retryKeys },
         KeySchema { "shutdown", ValueType::Object, false, 0, 0, shutdownKeys },
+        KeySchema { "changes", ValueType::Object, false, 0, 0, changeKeys },
         KeySchema { "log", ValueType::Object, false, 0, 0, logKeys },
     };
 
@@ -158,21 +164,28 @@
         reader.number("connectionsPerCaller", limits.maxConnectionsPerCaller);
     }
 
+    // Reads a time such as "6s". Adds a problem if the text is something else; returns nothing then or if it is absent.
+    std::optional<core::Duration> readTime(const SettingsReader& reader, const std::string& section, const char* key, std::vector<declare::Problem>& problems)
+    {
+        std::string text;
+        reader.section(section.c_str()).text(key, text);
+        if (text.empty())
+            return std::nullopt;
+        const std::optional<core::Duration> time = core::parseDuration(text);
+        if (!time)
+            problems.push_back({ section + "." + key, "must be a time such as \"6s\" or \"1500ms\"" });
+        return time;
+    }
+
     // Reads `within`, the time from the stop signal until the process is killed. Half of it is spent on accepting
     // requests while leaving, and 42 % on draining them; the rest is the margin for the end of the process.
     void readShutdownTime(const SettingsReader& reader, EntryVmOptions& vm, std::vector<declare::Problem>& problems)
     {
         constexpr double acceptShare = 0.5;
         constexpr double drainShare = 0.42;
-        std::string text;
-        reader.text("within", text);
-        if (text.empty())
+        const std::optional<core::Duration> within = readTime(reader, "shutdown", "within", problems);
+        if (!within)
             return;
-        const std::optional<core::Duration> within = core::parseDuration(text);
-        if (!within) {
-            problems.push_back({ "shutdown.within", "must be a time such as \"6s\" or \"1500ms\"" });
-            return;
-        }
         vm.acceptTimeWhileLeaving = std::chrono::duration_cast<core::Duration>(*within * acceptShare);
         vm.maxDrainTime = std::chrono::duration_cast<core::Duration>(*within * drainShare);
     }
@@ -201,7 +214,9 @@
         reader.section("retries").number("slack", vm.retrySlack);
         reader.section("shutdown").milliseconds("acceptMs", vm.acceptTimeWhileLeaving);
         reader.section("shutdown").milliseconds("drainMs", vm.maxDrainTime);
-        readShutdownTime(reader.section("shutdown"), vm, problems);
+        readShutdownTime(reader, vm, problems);
+        vm.leavingWithin = readTime(reader, "changes", "leavingWithin", problems).value_or(vm.leavingWithin);
+        vm.configurationWithin = readTime(reader, "changes", "configurationWithin", problems).value_or(vm.configurationWithin);
         reader.section("log").choice("level", settings.logLevel);
         reader.section("log").choice("format", settings.logFormat);
         return settings;
--- a/src/core/duration.h
+++ b/src/core/duration.h
@@ -8,8 +8,8 @@
 
 namespace cranberryshed::core {
 
-// Parses a non-negative number followed by its unit, "ms" or "s", such as "1500ms" or "2.5s". Returns nothing for any
-// other text.
+// Parses a non-negative number followed by its unit, "ms" or "s", such as "1500ms" or "2.5s", up to 10 years. Returns
+// nothing for any other text.
 inline std::optional<Duration> parseDuration(std::string_view text)
 {
     constexpr double microsecondsPerMillisecond = 1e3;
@@ -17,9 +17,12 @@
     double number = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
     const std::string_view unit(end, static_cast<std::size_t>(text.data() + text.size() - end));
-    if (error != std::errc() || number < 0 || (unit != "ms" && unit != "s"))
+    if (error != std::errc() || (unit != "ms" && unit != "s"))
         return std::nullopt;
-    return Duration(static_cast<Duration::rep>(number * (unit == "s" ? microsecondsPerSecond : microsecondsPerMillisecond)));
+    const double microseconds = number * (unit == "s" ? microsecondsPerSecond : microsecondsPerMillisecond);
+    constexpr auto longest = std::chrono::duration_cast<Duration>(std::chrono::years(10));
+    const bool isInRange = microseconds >= 0 && microseconds <= static_cast<double>(longest.count()); // false for NaN, too
+    return isInRange ? std::optional(Duration(static_cast<Duration::rep>(microseconds))) : std::nullopt;
 }
 
 }
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <memory>
 #include <span>
 #include <string_view>
 
@@ -36,7 +37,7 @@
 
     // Returns all objects of a kind, read page by page. The batch has the store version of the first page, so a watch
     // from that version misses no change.
-    boost::asio::awaitable<ObjectBatch> list(std::string kind);
+    boost::asio::awaitable<ObjectBatch> list(std::string kind, Consistency = Consistency::Linearizable);
 
     // Waits at most `wait` for changes after store version `fromVersion` and returns them; the batch is empty if there
     // were none. Does not wait while the circuit breaker is open. Makes one attempt only.
@@ -64,8 +65,8 @@
     boost::asio::awaitable<void> watchForever(std::vector<std::string> kinds, std::function<void(std::vector<core::Object>)> onObjects, std::function<void(bool)> onAvailability = {}) requires ConditionalWriteApi<ApiType>;
 
     // Whether the circuit breaker would admit a call at `now`.
-    bool canSendNow(core::TimePoint now) const { return this->breaker.wouldAdmit(now); }
-    bool isStoreDown() const { return this->breaker.isOpen(); }
+    bool canSendNow(core::TimePoint now) const { return this->breaker->wouldAdmit(now); }
+    bool isStoreDown() const { return this->breaker->isOpen(); }
     core::TimePoint now() const { return this->transport.now(); }
 
 private:
@@ -79,7 +80,7 @@
     ClientOptions options;
     core::RandomEngine random;
     RateLimiter rateLimiter;
-    CircuitBreaker breaker;
+    std::shared_ptr<CircuitBreaker> breaker;
     SeenVersions seenVersions;
 };
 
--- a/src/store/client_impl.h
+++ b/src/store/client_impl.h
@@ -16,6 +16,27 @@
 
 constexpr core::Duration maxWatchWait = std::chrono::seconds(30);
 
+// Ends an admitted call that is cancelled, or that ends with an exception, so that its probe does not keep all later
+// calls from the store.
+struct AdmittedCall {
+    explicit AdmittedCall(std::shared_ptr<CircuitBreaker> admittingBreaker)
+        : breaker(std::move(admittingBreaker))
+    {
+    }
+
+    AdmittedCall(const AdmittedCall&) = delete;
+    AdmittedCall& operator=(const AdmittedCall&) = delete;
+
+    ~AdmittedCall()
+    {
+        if (!this->hasResult)
+            this->breaker->recordAbandoned();
+    }
+
+    std::shared_ptr<CircuitBreaker> breaker; // shared, because a call can outlive its client
+    bool hasResult = false;
+};
+
 inline bool isServerFailure(const HttpResponse& response)
 {
     return response.outcome != ExchangeOutcome::Answered || response.status >= httpServerError || response.status == httpTooManyRequests;
@@ -70,7 +91,7 @@
     , options(std::move(clientOptions))
     , random(core::hashBytes(this->options.writer, this->options.seed))
     , rateLimiter(this->options.rateLimit)
-    , breaker(this->options.breaker)
+    , breaker(std::make_shared<CircuitBreaker>(this->options.breaker))
 {
 }
 
@@ -86,16 +107,18 @@
 asio::awaitable<HttpResponse> Client<TransportType, ApiType>::attempt(HttpRequest request, core::Duration timeout)
 {
     core::TimePoint now = this->transport.now();
-    if (!this->breaker.tryAdmit(now))
+    if (!this->breaker->tryAdmit(now))
         throw storeUnavailable();
+    AdmittedCall admitted(this->breaker);
     core::TimePoint start = this->rateLimiter.reserve(now);
     if (start > now)
         co_await this->transport.waitUntil(start);
     HttpResponse response = co_await this->transport.exchange(std::move(request), std::max(now, start) + timeout);
+    admitted.hasResult = true;
     if (isServerFailure(response))
-        this->breaker.recordFailure(this->transport.now(), this->random);
+        this->breaker->recordFailure(this->transport.now(), this->random);
     else
-        this->breaker.recordSuccess();
+        this->breaker->recordSuccess();
     co_return response;
 }
 
@@ -117,19 +140,21 @@
 }
 
 template <Transport TransportType, ObjectApi ApiType>
-asio::awaitable<ObjectBatch> Client<TransportType, ApiType>::list(std::string kind)
+asio::awaitable<ObjectBatch> Client<TransportType, ApiType>::list(std::string kind, Consistency consistency)
 {
     ObjectBatch batch;
     std::string after;
     bool first = true;
     do {
-        HttpRequest request = ApiType::makeListRequest(kind, after);
+        HttpRequest request = ApiType::makeListRequest(kind, after, consistency);
         HttpResponse response = co_await this->read(std::move(request));
         if (response.status != httpOk)
             throw unexpectedStatus(response);
         ObjectPage page = ApiType::decodePage(response.body, kind);
         batch.version = std::exchange(first, false) ? page.batch.version : batch.version;
         std::move(page.batch.objects.begin(), page.batch.objects.end(), std::back_inserter(batch.objects));
+        if (!after.empty() && page.continueAfter == after)
+            throw core::Error(core::ErrorKind::BadMessage, "the store repeats a page of its list of kind " + kind);
         after = std::move(page.continueAfter);
     } while (!after.empty());
     co_return batch;
@@ -140,7 +165,7 @@
 {
     // While the circuit breaker is open, the watch can be its probe and keeps all other calls from the store until it
     // ends, so it does not wait for changes.
-    if (this->breaker.isOpen())
+    if (this->breaker->isOpen())
         wait = core::Duration::zero();
     HttpRequest request = ApiType::makeWatchRequest(kind, fromVersion, wait);
     HttpResponse response = co_await this->attempt(std::move(request), wait + this->options.watchTimeoutMargin);
@@ -331,7 +356,7 @@
         }
         // While the circuit breaker is open, no call is admitted before the next probe.
         core::TimePoint now = this->transport.now();
-        co_await this->transport.waitUntil(std::max(now + backoff.next(this->random), this->breaker.nextProbeTime().value_or(now)));
+        co_await this->transport.waitUntil(std::max(now + backoff.next(this->random), this->breaker->nextProbeTime().value_or(now)));
     }
 }
 
--- a/src/store/object_api.h
+++ b/src/store/object_api.h
@@ -3,20 +3,24 @@
 #include "store/stored_object.h"
 #include "store/transport.h"
 
+#include <cstdint>
+
 namespace cranberryshed::store {
 
 // HTTP status codes of the store.
 constexpr unsigned httpOk = 200;
 constexpr unsigned httpCreated = 201;
-constexpr unsigned httpBadRequest = 400;
 constexpr unsigned httpNotFound = 404;
 constexpr unsigned httpConflict = 409;
 constexpr unsigned httpGone = 410;
-constexpr unsigned httpTooLarge = 413;
 constexpr unsigned httpTooManyRequests = 429;
 constexpr unsigned httpServerError = 500;
 constexpr unsigned httpUnavailable = 503;
 
+// Which state a list shows. A stale list is cheaper for the store and can be some seconds old.
+enum class Consistency : std::uint8_t { Linearizable,
+    Stale };
+
 // One page of a list of the objects of a kind.
 struct ObjectPage {
     ObjectBatch batch;
@@ -30,7 +34,7 @@
 {
     // Lists the objects of a kind whose names come after `name`.
     {
-        Candidate::makeListRequest(kind, name)
+        Candidate::makeListRequest(kind, name, Consistency::Linearizable)
         } -> std::same_as<HttpRequest>;
     {
         Candidate::decodePage(text, kind)
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -7,7 +7,7 @@
 WatcherCall ObjectWatcher::nextCall() const
 {
     if (!this->reachedVersion)
-        return { .kind = WatcherCallKind::List, .notBefore = this->nextCallTime };
+        return { .kind = WatcherCallKind::List, .notBefore = this->nextCallTime, .consistency = this->listConsistency };
     return { .kind = WatcherCallKind::Watch, .notBefore = this->nextCallTime, .fromVersion = *this->reachedVersion };
 }
 
@@ -23,6 +23,7 @@
     for (const auto& [name, version] : missing)
         this->applyRemoval({ .kind = this->options.kind, .name = name, .version = { .revision = storeVersion, .version = 1 }, .deleted = true, .content = {} }, now, accepted);
     this->reachedVersion = storeVersion;
+    this->listConsistency = Consistency::Stale;
     return accepted;
 }
 
@@ -43,6 +44,7 @@
 void ObjectWatcher::recordHistoryGone(core::TimePoint now)
 {
     this->reachedVersion.reset();
+    this->listConsistency = Consistency::Linearizable;
     this->nextCallTime = now;
 }
 
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -2,6 +2,7 @@
 
 #include "core/object.h"
 #include "core/types.h"
+#include "store/object_api.h"
 
 #include <map>
 #include <optional>
@@ -18,6 +19,9 @@
     WatcherCallKind kind = WatcherCallKind::List;
     core::TimePoint notBefore {};
     std::uint64_t fromVersion = 0; // of a watch: the store version to continue from
+    // Of a list. A stale one is enough before a watch, which reports all later changes, unless the store no longer
+    // holds the changes since such an old version.
+    Consistency consistency = Consistency::Stale;
 };
 
 // Keeps up to date with the objects of one kind: lists them first, then watches for changes, and lists them again when
@@ -82,6 +86,7 @@
     std::map<std::string, core::ObjectVersion> knownVersions; // of existing objects, by name
     std::map<std::string, HeldRemoval> heldRemovals; // by object name
     unsigned failures = 0; // consecutive
+    Consistency listConsistency = Consistency::Stale; // of the next list
     core::TimePoint nextCallTime {};
     core::TimePoint holdRemovalsUntil {}; // removals that are seen before this time are held until then
 };
--- a/src/wire/admin_server.cpp
+++ b/src/wire/admin_server.cpp
@@ -1,12 +1,14 @@
 #include "wire/admin_server.h"
 
 #include "wire/header.h"
+#include "wire/log.h"
 
 namespace cranberryshed::wire {
 
 namespace {
 
     constexpr std::uint32_t maxHeaderBytes = 8 * 1024;
+    constexpr std::chrono::milliseconds acceptRetryDelay(100); // after an error of accept()
     constexpr std::chrono::seconds ioTimeout(10); // for reading a request and for writing an answer
 
 }
@@ -54,8 +56,15 @@
     for (;;) {
         Socket socket(state->context.get_executor());
         auto [error] = co_await state->acceptor.async_accept(socket, useResult);
-        if (error)
+        if (error == asio::error::operation_aborted || !state->acceptor.is_open())
             co_return;
+        if (error) {
+            log(core::LogComponent::Wire, spdlog::level::warn, "cannot accept a connection to the admin pages: {}", error.message());
+            Timer timer(state->context.get_executor());
+            timer.expires_after(acceptRetryDelay);
+            co_await timer.async_wait(useResult);
+            continue;
+        }
         asio::co_spawn(state->context, serve(state, std::make_shared<Stream>(std::move(socket))), asio::detached);
     }
 }
--- a/src/wire/peer_streams.cpp
+++ b/src/wire/peer_streams.cpp
@@ -1,6 +1,7 @@
 #include "wire/peer_transport.h"
 
 #include "wire/endpoint.h"
+#include "wire/log.h"
 
 #include <algorithm>
 #include <array>
@@ -21,6 +22,7 @@
     constexpr std::size_t maxIncomingStreams = 128;
     constexpr std::size_t maxQueuedMessages = 1024; // per stream; the content of objects is shared with the node
     constexpr auto connectTimeout = 3s;
+    constexpr auto acceptRetryDelay = 100ms; // after an error of accept()
     constexpr auto transferTimeout = 20s; // for one frame; the largest then needs 55 KB/s
     constexpr auto senderIdleTimeout = 10s; // the sender closes a stream after this time without a message
     constexpr auto receiverIdleTimeout = 30s; // longer than the sender's, so that no message is sent on a closed stream
@@ -116,8 +118,18 @@
         auto [error, accepted] = co_await this->acceptor.async_accept(useResult);
         if (this->isClosed || error == asio::error::operation_aborted)
             co_return;
-        if (error || this->incomingStreamCount >= maxIncomingStreams)
+        if (error) {
+            // For example, no file descriptors are left: waits, because retrying at once would spin.
+            log(core::LogComponent::Fleet, spdlog::level::warn, "cannot accept a stream of another member: {}", error.message());
+            Timer timer(this->executor);
+            timer.expires_after(acceptRetryDelay);
+            co_await timer.async_wait(useResult);
             continue;
+        }
+        if (this->incomingStreamCount >= maxIncomingStreams) {
+            ++this->peerCounters.dropped;
+            continue;
+        }
         ++this->incomingStreamCount;
         asio::co_spawn(
             this->executor,
--- a/tests/io/platform_path.cpp
+++ b/tests/io/platform_path.cpp
@@ -144,3 +144,117 @@
     fixture.store.remove("evacuations", "north-1");
     CHECK(timeUntil([&] { return ask() == 200; }, 2s) < 2s);
 }
+
+// Guards against new work for a server that announces its end in its answers while the store, which lists it as ready,
+// can't be reached. A refusal announces it as well as an answer.
+TEST_CASE("a server that announces its end gets no more requests without the store", "[platform-path]")
+{
+    PlatformFixture fixture;
+    const PlatformFixture::Addresses vm = fixture.startVm("front-1");
+    REQUIRE(becomesReady(vm));
+    fixture.store.changeFaults([](platform::StoreFaults& faults) { faults.refusesCalls = true; });
+    fixture.store.cutWatches();
+    PlatformServer& leaving = *fixture.servers[0];
+    leaving.refusesRequests = GENERATE(false, true);
+    leaving.announcesLeaving = true;
+    unsigned next = 0;
+    const auto ask = [&] {
+        const std::string object = std::to_string(++next);
+        return RawClient(vm.callers).ask(get("/read/1", "Affinity-Key: " + object + "\r\nRequest-Id: r" + object + "\r\nDeadline-Ms: 500\r\n")).status();
+    };
+    for (int i = 0; i < 12; ++i)
+        ask();
+    CHECK(leaving.arrivalCount() > 0);
+    std::this_thread::sleep_for(2s); // less than the shortest time for which a leaving server still accepts work
+    const unsigned before = leaving.arrivalCount();
+    for (int i = 0; i < 12; ++i)
+        CHECK(ask() == 200);
+    CHECK(leaving.arrivalCount() == before);
+    fixture.writeServerEntry(leaving, "ready");
+    fixture.store.changeFaults([](platform::StoreFaults& faults) { faults.refusesCalls = false; });
+    std::this_thread::sleep_for(1500ms); // the entry has been read again by then
+    for (int i = 0; i < 12; ++i)
+        ask();
+    CHECK(leaving.arrivalCount() == before);
+}
+
+// Guards against a server that is asked again during the pause for which it has asked, by retries or new requests.
+TEST_CASE("a server that asks for a pause gets at most two requests during it", "[platform-path]")
+{
+    PlatformFixture fixture;
+    const PlatformFixture::Addresses vm = fixture.startVm("front-1");
+    REQUIRE(becomesReady(vm));
+    PlatformServer& pausing = *fixture.servers[0];
+    pausing.refusesRequests = true;
+    pausing.asksForPause = true;
+    unsigned next = 0;
+    const auto ask = [&] {
+        const std::string object = std::to_string(++next);
+        return RawClient(vm.callers).ask(get("/read/1", "Affinity-Key: " + object + "\r\nRequest-Id: p" + object + "\r\nDeadline-Ms: 2000\r\n")).status();
+    };
+    while (pausing.arrivalCount() == 0 && next < 100)
+        CHECK(ask() == 200);
+    const unsigned before = pausing.arrivalCount();
+    const auto begin = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - begin < 1300ms)
+        CHECK(ask() == 200);
+    CHECK(next > 20);
+    CHECK(pausing.arrivalCount() <= before + 2);
+}
+
+// Guards against an entry VM that ends, or no longer follows the servers, because another program wrote an object that
+// it can't decode. The odd objects come first, alone, and beside a removal.
+TEST_CASE("odd entries in the store stop nothing", "[platform-path]")
+{
+    const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+    const std::string valid = R"("info":{"service":"ledger","version":"v1","zone":"north-1","slots":3},"status":{"state":"ready","sequence":1,"cold_left":"0ms"}})";
+    const std::vector<std::string> oddSpecs = {
+        deep,
+        R"({"address":"127.0.0.1:80","extra":)" + deep + "," + valid,
+        R"({"address":"127.0.0.1:70000",)" + valid,
+        R"({"address":"127.0.0.1:0",)" + valid,
+        R"({"address":"127.0.0.1:80","born":1e99999999999,)" + valid,
+        R"({"address":"127.0.0.1:80","born":-1,)" + valid,
+        R"({"address":"127.0.0.1:80","born":18446744073709551616,)" + valid,
+        R"([1,2,3])",
+        R"("text")",
+        "{\"address\":\"\xff\xfe\"," + valid,
+        R"({"address":")" + std::string(200'000, 'a') + R"(",)" + valid,
+    };
+    PlatformFixture fixture(1);
+    const bool isBeforeStart = GENERATE(true, false);
+    const auto writeOddObjects = [&] {
+        for (std::size_t i = 0; i < oddSpecs.size(); ++i) {
+            for (const std::string kind : { "servers", "entry-vms", "evacuations" })
+                fixture.store.createOrReplace(kind, "0-odd " + std::to_string(i), oddSpecs[i]);
+        }
+    };
+    if (isBeforeStart)
+        writeOddObjects();
+    const PlatformFixture::Addresses vm = fixture.startVm("front-1");
+    REQUIRE(becomesReady(vm));
+    if (!isBeforeStart)
+        writeOddObjects();
+    unsigned next = 0;
+    const auto ask = [&] {
+        const std::string request = "odd-" + std::to_string(++next);
+        return RawClient(vm.callers).ask(get("/read/1", "Affinity-Key: " + std::to_string(next) + "\r\nRequest-Id: " + request + "\r\nDeadline-Ms: 500\r\n")).status();
+    };
+    CHECK(timeUntil([&] { return ask() == 200; }, 3s) < 3s);
+    // Later changes are still followed: a new server, and the removal of the first one.
+    fixture.servers.push_back(std::make_unique<PlatformServer>(fixture.context, "i-new"));
+    fixture.writeServerEntry(*fixture.servers[1], "ready");
+    CHECK(timeUntil([&] { return ask() == 200 && fixture.servers[1]->totalRunCount() > 0; }, 3s) < 3s);
+    fixture.store.remove("servers", fixture.servers[0]->name);
+    fixture.store.remove("servers", "0-odd 0");
+    const auto isIdle = [&] {
+        const unsigned before = fixture.servers[0]->arrivalCount();
+        for (int i = 0; i < 6; ++i)
+            ask();
+        return fixture.servers[0]->arrivalCount() == before;
+    };
+    CHECK(timeUntil(isIdle, 3s) < 3s);
+    CHECK(PlatformFixture::isReady(vm));
+    fixture.writeConfiguration(2, "/other/");
+    CHECK(timeUntil([&] { return RawClient(vm.callers).ask(post("/other/1", "bell", PlatformFixture::requestFields("late"))).status() == 200; }, 2s) < 2s);
+}
