--- a/src/request/region_share_limiter.cpp
+++ b/src/request/region_share_limiter.cpp
@@ -24,20 +24,21 @@
     for (double& count : service.counted)
         count *= kept;
     if (now >= service.suspendedUntil)
-        moveReference(service, step);
+        this->moveReference(service, step);
     else if (service.total > 0)
         std::ranges::transform(service.counted, service.reference.begin(), [&](double count) { return count / service.total; });
 }
 
-// Moves the reference towards the preferred shares. All regions together gain at most `maxStep`, and lose as much.
-void RegionShareLimiter::moveReference(Service& service, double maxStep)
+// Moves the reference towards the preferred shares.
+void RegionShareLimiter::moveReference(Service& service, double maxStep) const
 {
     double gained = 0;
     for (std::size_t i = 0; i < service.reference.size(); ++i)
         gained += std::max(0.0, service.preferred[i] - service.reference[i]);
-    const double factor = gained > maxStep ? maxStep / gained : 1;
+    service.isSettled |= gained <= this->options.settledGap && service.updatedAt - service.startedAt >= this->options.startPeriod;
+    const double factor = this->usesCredit(service) && gained > maxStep ? maxStep / gained : 1;
     for (std::size_t i = 0; i < service.reference.size(); ++i)
-        service.reference[i] += factor * (service.preferred[i] - service.reference[i]);
+        service.reference[i] += std::clamp(factor * (service.preferred[i] - service.reference[i]), -maxStep, maxStep);
 }
 
 void RegionShareLimiter::recordPreference(std::uint64_t serviceKey, core::RegionIndex region, const std::vector<double>& initial, core::TimePoint now)
@@ -45,7 +46,7 @@
     const auto [entry, added] = this->services.try_emplace(serviceKey);
     Service& service = entry->second;
     if (added || service.reference.size() != initial.size())
-        service = { .reference = initial, .preferred = initial, .credit = std::vector<double>(initial.size(), 0), .counted = std::vector<double>(initial.size(), 0), .total = 0, .updatedAt = now };
+        service = { .reference = initial, .preferred = initial, .credit = std::vector<double>(initial.size(), 0), .counted = std::vector<double>(initial.size(), 0), .total = 0, .updatedAt = now, .startedAt = now };
     this->advance(service, now);
     // Weight of one request, so that the average covers the requests within preferenceAveragingTime.
     const double rate = std::max(1.0, service.total / seconds(this->options.window));
@@ -63,8 +64,9 @@
 const RegionShareLimiter::Service* RegionShareLimiter::findLimiting(std::uint64_t serviceKey, core::TimePoint now) const
 {
     const auto found = this->services.find(serviceKey);
-    const bool isLimiting = found != this->services.end() && now >= found->second.suspendedUntil;
-    return isLimiting ? &found->second : nullptr;
+    if (found == this->services.end() || now < found->second.suspendedUntil)
+        return nullptr;
+    return found->second.isSettled && this->usesCredit(found->second) ? nullptr : &found->second;
 }
 
 bool RegionShareLimiter::allows(std::uint64_t serviceKey, core::RegionIndex region, core::TimePoint now) const
@@ -72,8 +74,9 @@
     const Service* service = this->findLimiting(serviceKey, now);
     if (!service)
         return true;
-    const double debt = 1 - service->reference[region.value] - service->credit[region.value];
-    return debt <= std::max(this->options.tolerance * service->total, this->options.minDebt);
+    if (this->usesCredit(*service))
+        return 1 - service->reference[region.value] - service->credit[region.value] <= this->options.maxDebt;
+    return (service->counted[region.value] + 1) / (service->total + 1) <= service->reference[region.value] + this->options.tolerance;
 }
 
 std::optional<core::RegionIndex> RegionShareLimiter::regionBehindShare(std::uint64_t serviceKey, core::TimePoint now) const
@@ -82,12 +85,13 @@
     if (!service)
         return std::nullopt;
     std::optional<core::RegionIndex> furthest;
-    double maxCredit = this->options.tolerance * service->total;
+    const bool usesCredit = this->usesCredit(*service);
+    double maxGap = usesCredit ? this->options.tolerance * service->total : this->options.tolerance;
     for (std::uint32_t i = 0; i < service->reference.size(); ++i) {
-        const double credit = service->credit[i] + service->reference[i];
-        if (credit <= maxCredit)
+        const double gap = usesCredit ? service->credit[i] + service->reference[i] : service->reference[i] - service->counted[i] / service->total;
+        if (gap <= maxGap)
             continue;
-        maxCredit = credit;
+        maxGap = gap;
         furthest = core::RegionIndex { i };
     }
     return furthest;
@@ -102,7 +106,7 @@
     this->advance(service, now);
     service.counted[region.value] += 1;
     service.total += 1;
-    const double kept = 1 - 1 / std::max(service.total, this->options.creditRequests);
+    const double kept = 1 - 1 / this->options.creditRequests;
     for (std::size_t i = 0; i < service.credit.size(); ++i)
         service.credit[i] = kept * (service.credit[i] + service.reference[i] - (i == region.value ? 1 : 0));
 }
--- a/src/request/region_share_limiter.h
+++ b/src/request/region_share_limiter.h
@@ -15,19 +15,22 @@
 // service has reference shares that follow the preferred regions at a bounded rate, and the shares of the recent
 // requests stay close to the reference.
 //
-// The fleet's share changes by the sum of what its entry VMs do, and they learn of a change at the same moment. So the
-// bound must hold for each of them from its first request on, although in a large fleet each gets only a few requests a
-// second. Therefore each request adds its reference shares to the credit of the regions, and the region that gets it
-// pays one request.
+// With few requests in a window, their shares are too inaccurate to enforce. Entry VMs that get few requests then choose
+// freely, and differ from each other. Only after a start do they learn the same things at the same moment: the servers
+// are cold, and seconds later the objects are warm in the callers' region. Until the reference has settled after that,
+// each request adds its reference shares to the credit of the regions, and the region that gets it pays one request.
 class RegionShareLimiter {
 public:
     struct Options {
         core::Duration window = std::chrono::seconds(1); // time constant of the request counts
-        // Credit and debt that a region may have, relative to the requests of a window.
-        double tolerance = 0.04;
-        double minDebt = 1; // requests of debt that a region may always have
-        double creditRequests = 25; // credit and debt are forgotten over at least this many requests
-        double maxStepPerSecond = 0.05; // share of the requests that can change their region
+        double tolerance = 0.04; // allowed difference between a window's share and its reference
+        double minRequests = 8; // in a window; with fewer, its shares are not enforced
+        core::Duration startPeriod = std::chrono::seconds(4); // after the first request, the reference is not settled yet
+        double settledGap = 0.1; // share of the requests that may still change their region when the reference is settled
+        double maxDebt = 1; // requests
+        double creditRequests = 25; // credit and debt are forgotten over this many requests
+        // Maximum change of a reference share. With credit, of all shares together.
+        double maxStepPerSecond = 0.05;
         core::Duration preferenceAveragingTime = std::chrono::seconds(1); // time constant of the preference average
         core::Duration suspension = std::chrono::seconds(6); // how long shares are unlimited after a change of the servers
     };
@@ -60,11 +63,14 @@
         std::vector<double> counted; // by RegionIndex, requests sent, exponentially decayed over the window
         double total = 0; // sum of `counted`
         core::TimePoint updatedAt {};
+        core::TimePoint startedAt {}; // time of the first request
+        bool isSettled = false; // the reference has reached the preferred shares after the start
         core::TimePoint suspendedUntil {};
     };
 
     void advance(Service&, core::TimePoint now) const;
-    static void moveReference(Service&, double maxStep);
+    bool usesCredit(const Service& service) const { return service.total < this->options.minRequests; }
+    void moveReference(Service&, double maxStep) const;
     // The service if its shares are limited at this time, else nullptr.
     const Service* findLimiting(std::uint64_t serviceKey, core::TimePoint now) const;
 
