Serve requests that are arriving at a planned stop; number requests

A planned stop counted only requests that had been read completely: one that was arriving was cut off without an answer, and connections in the kernel's queue were reset. Both are waited for now.

On the native interface, a second copy of an answer that arrived after the next request had been sent reached the next caller. Requests carry X-Exchange-Id, which servers repeat; another number is dropped.

--- a/src/app/server_standin.cpp
+++ b/src/app/server_standin.cpp
@@ -231,7 +231,7 @@
         const std::uint64_t size = numberField(request, "X-Work-Bytes");
         const std::uint64_t breakAt = numberField(request, "X-Work-Break-At");
         std::string text = "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nX-Work-Id: " + workId
-            + "\r\nX-Server: " + this->options.name + "\r\nX-Body-Length: " + std::to_string(request.body().size()) + "\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n";
+            + "\r\nX-Exchange-Id: " + std::string(request["X-Exchange-Id"]) + "\r\nX-Server: " + this->options.name + "\r\nX-Body-Length: " + std::to_string(request.body().size()) + "\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n";
         for (std::uint64_t position = 0; position < size || !text.empty();) {
             const std::uint64_t chunkBytes = std::min<std::uint64_t>(writeChunkBytes, size - position);
             for (std::uint64_t i = 0; i < chunkBytes; ++i)
--- a/src/wire/dialect.h
+++ b/src/wire/dialect.h
@@ -33,6 +33,8 @@
     // Fills the members of RequestArrived that this dialect reads from the caller's header: the request key, the
     // deadline and the affinity.
     Candidate::readRequestFields(request, arrival);
+    // Adds the header fields by which backend servers recognise this system, the same for all attempts of a request.
+    Candidate::addExchangeFields(outgoing, core::RequestId {});
     {
         Candidate::callerRequestId(request)
         } -> std::same_as<std::string>;
@@ -60,6 +62,7 @@
     static constexpr std::size_t maxBufferedAnswerBytes = 0;
 
     static void readRequestFields(const RequestHeader&, request::RequestArrived&);
+    static void addExchangeFields(RequestHeader&, core::RequestId);
     static std::string callerRequestId(const RequestHeader&) { return {}; }
     static void setBackendFields(RequestHeader&, const BackendAttempt&, core::Duration timeLeft);
     static AnswerMatch matchAnswer(const http::response_header<>&, const RequestHeader&, bool firstAnswer);
--- a/src/wire/session_impl.h
+++ b/src/wire/session_impl.h
@@ -67,6 +67,7 @@
     // Serves one request. Returns whether the connection can take another one.
     Task<bool> serveRequest()
     {
+        this->incoming.reset();
         this->parser = std::make_shared<CallerParser>();
         this->parser->header_limit(this->worker.limits().maxHeaderBytes);
         this->parser->body_limit(this->worker.limits().maxBodyBytes);
@@ -97,6 +98,7 @@
                 co_return error;
             this->buffer.commit(count);
         }
+        this->incoming.emplace(this->worker);
         error_code parseError;
         this->buffer.consume(this->parser->put(this->buffer.data(), parseError));
         if (parseError && parseError != http::error::need_more)
@@ -157,6 +159,7 @@
         if (const std::optional<core::ClassIndex> found = request::matchClass(*this->worker.table(), arrival.host, arrival.method, arrival.target))
             exchange->className = this->worker.table()->at(*found).name;
         prepareForBackend(exchange->header);
+        DialectType::addExchangeFields(exchange->header, exchange->id);
         if constexpr (DialectType::forwardsCallerAddress)
             exchange->header.insert("X-Forwarded-For", this->address.to_string());
         exchange->startAttempt = [this, exchange = std::weak_ptr<Exchange>(exchange)](const request::SendAttempt& command) {
@@ -164,6 +167,7 @@
                 this->startAttempt(locked, command);
         };
         this->worker.addExchange(exchange);
+        this->incoming.reset();
         this->worker.handle(std::move(arrival));
         this->watchCaller(exchange);
         const bool keepAlive = co_await this->executeDecision(*exchange);
@@ -357,6 +361,7 @@
     core::CallerAddress caller;
     beast::flat_buffer buffer;
     std::shared_ptr<CallerParser> parser; // shared with attempts that outlive their request
+    std::optional<Worker::IncomingRequest> incoming; // the request that is being read
     Timer readTimer;
     bool readTimedOut = false;
     std::weak_ptr<Exchange> watchedExchange;
--- a/src/wire/text_response.h
+++ b/src/wire/text_response.h
@@ -19,6 +19,9 @@
     inline constexpr std::string_view requestKey = "X-Request-Key";
     inline constexpr std::string_view deadline = "X-Deadline-Ms";
     inline constexpr std::string_view backendRun = "X-Backend-Run";
+    // Number of a request at its entry VM. A backend server repeats it in the answer, so that a second copy of an answer
+    // is not taken for the answer to the next request on the connection.
+    inline constexpr std::string_view exchangeId = "X-Exchange-Id";
     inline constexpr std::string_view firstStatus = "X-First-Status";
 }
 
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -4,11 +4,14 @@
 #include "wire/log.h"
 #include "wire/session.h"
 
+#include <algorithm>
+
 namespace cranberryshed::wire {
 
 namespace {
 
     constexpr int listenBacklog = 1024;
+    constexpr core::Duration firstBytesDelay = std::chrono::milliseconds(200); // of a request, after its connection was accepted
     constexpr core::Duration maxObservationDelay = std::chrono::milliseconds(100);
     constexpr std::size_t maxObservationBatch = 1000;
 
@@ -56,7 +59,7 @@
     this->exchanges.clear();
     this->observationTimer.cancel();
     this->pool.clear();
-    this->acceptors.clear();
+    this->listeners.clear();
     this->context.reset();
 }
 
@@ -68,8 +71,8 @@
     acceptor->set_option(ReusePort(true));
     acceptor->bind(endpoint);
     acceptor->listen(listenBacklog);
-    this->acceptors.push_back(acceptor);
-    asio::co_spawn(*this->context, this->acceptConnections(acceptor, std::move(handler)), asio::detached);
+    this->listeners.push_back({ .acceptor = acceptor, .handler = std::move(handler) });
+    asio::co_spawn(*this->context, this->acceptConnections(this->listeners.back()), asio::detached);
     return acceptor->local_endpoint();
 }
 
@@ -82,9 +85,15 @@
 Task<void> Worker::drain(core::Duration timeout)
 {
     this->isDraining = true;
-    for (const std::shared_ptr<Acceptor>& acceptor : this->acceptors)
-        acceptor->close();
-    if (this->exchanges.empty())
+    for (const Listener& listener : this->listeners) {
+        this->acceptPending(listener);
+        listener.acceptor->close();
+    }
+    // A request on a connection that has just been accepted is read only after its data has arrived.
+    Timer firstBytes(this->executor());
+    firstBytes.expires_after(std::min(firstBytesDelay, timeout));
+    co_await firstBytes.async_wait(useResult);
+    if (this->isIdle())
         co_return;
     this->drainTimer = std::make_unique<Timer>(this->executor());
     this->drainTimer->expires_after(timeout);
@@ -149,7 +158,12 @@
 void Worker::removeExchange(core::RequestId request)
 {
     this->exchanges.erase(request);
-    if (this->drainTimer && this->exchanges.empty())
+    this->endDrainIfIdle();
+}
+
+void Worker::endDrainIfIdle()
+{
+    if (this->drainTimer && this->isIdle())
         this->drainTimer->cancel();
 }
 
@@ -206,11 +220,11 @@
     });
 }
 
-Task<void> Worker::acceptConnections(std::shared_ptr<Acceptor> listener, ConnectionHandler handler)
+Task<void> Worker::acceptConnections(Listener listener)
 {
     for (;;) {
         Socket socket(this->executor());
-        auto [error] = co_await listener->async_accept(socket, useResult);
+        auto [error] = co_await listener.acceptor->async_accept(socket, useResult);
         if (error == asio::error::operation_aborted)
             co_return;
         if (error) {
@@ -221,13 +235,32 @@
             co_await timer.async_wait(useResult);
             continue;
         }
-        ++this->trafficMetrics.connections;
-        const asio::ip::address caller = socket.remote_endpoint(error).address();
+        this->serve(listener, std::move(socket));
+    }
+}
+
+// Accepts the connections that wait in the kernel's queue. Closing the listening socket would reset them.
+void Worker::acceptPending(const Listener& listener)
+{
+    error_code error;
+    listener.acceptor->non_blocking(true, error);
+    while (!error) {
+        Socket socket(this->executor());
+        listener.acceptor->accept(socket, error);
         if (!error)
-            handler(*this, std::move(socket), caller);
+            this->serve(listener, std::move(socket));
     }
 }
 
+void Worker::serve(const Listener& listener, Socket socket)
+{
+    error_code error;
+    ++this->trafficMetrics.connections;
+    const asio::ip::address caller = socket.remote_endpoint(error).address();
+    if (!error)
+        listener.handler(*this, std::move(socket), caller);
+}
+
 Task<void> Worker::closeIdleConnections()
 {
     Timer timer(this->executor());
--- a/src/wire/worker.h
+++ b/src/wire/worker.h
@@ -52,8 +52,8 @@
 
     void start();
 
-    // Closes the listening sockets and completes once no request is in flight or the timeout has passed.
-    // Must be spawned on this worker's executor.
+    // Closes the listening sockets and completes once no request is arriving or in flight, or the timeout has passed.
+    // Connections that the kernel has accepted by then are served. Must be spawned on this worker's executor.
     Task<void> drain(core::Duration timeout);
 
     // Replaces the steering table, effective from the next event. Thread-safe.
@@ -83,10 +83,43 @@
     void addExchange(const std::shared_ptr<Exchange>& exchange) { this->exchanges.emplace(exchange->id, exchange); }
     void removeExchange(core::RequestId request);
     std::size_t inFlight() const { return this->exchanges.size(); }
+
+    // Counts a request of which a part has arrived, for drain(). Ends when the request has become an exchange or can't
+    // be read.
+    class IncomingRequest {
+    public:
+        explicit IncomingRequest(Worker& owner)
+            : worker(owner)
+        {
+            ++this->worker.incomingRequests;
+        }
+
+        ~IncomingRequest()
+        {
+            --this->worker.incomingRequests;
+            this->worker.endDrainIfIdle();
+        }
+
+        IncomingRequest(const IncomingRequest&) = delete;
+        IncomingRequest& operator=(const IncomingRequest&) = delete;
+
+    private:
+        Worker& worker;
+    };
     ConnectionLimiter& connectionLimiter() { return *this->options.connectionLimiter; }
 
 private:
-    Task<void> acceptConnections(std::shared_ptr<Acceptor>, ConnectionHandler);
+    // A listening socket with the handler of its connections.
+    struct Listener {
+        std::shared_ptr<Acceptor> acceptor;
+        ConnectionHandler handler;
+    };
+
+    Task<void> acceptConnections(Listener);
+    void acceptPending(const Listener&);
+    void serve(const Listener&, Socket);
+    bool isIdle() const { return this->exchanges.empty() && this->incomingRequests == 0; }
+    void endDrainIfIdle();
     Task<void> closeIdleConnections();
 
     void execute(const request::SendAttempt&);
@@ -107,8 +140,9 @@
     ConnectionPool pool;
     TrafficMetrics trafficMetrics;
     std::unordered_map<core::RequestId, std::shared_ptr<Exchange>> exchanges;
-    std::vector<std::shared_ptr<Acceptor>> acceptors;
-    std::unique_ptr<Timer> drainTimer; // set while drain() waits for requests in flight
+    std::size_t incomingRequests = 0;
+    std::vector<Listener> listeners;
+    std::unique_ptr<Timer> drainTimer; // set while drain() waits for requests
     request::Observations observations; // not yet reported to control
     Timer observationTimer;
     std::uint64_t lastRequestNumber = 0;
--- a/tests/io/framing.cpp
+++ b/tests/io/framing.cpp
@@ -63,6 +63,22 @@
     CHECK(sized());
 }
 
+// Guards against passing a caller the answer to another request: a server sends an answer a second time, when the next
+// request on the connection is already on its way.
+TEST_CASE("a late second copy of an answer is not taken for the next answer", "[framing]")
+{
+    VmFixture fixture(0);
+    const std::string first = "HTTP/1.1 200 OK\r\nX-Exchange-Id: 1\r\nContent-Length: 5\r\n\r\nfirst";
+    const std::string second = "HTTP/1.1 200 OK\r\nX-Exchange-Id: 2\r\nContent-Length: 6\r\n\r\nsecond";
+    RawServer server({ { "GET /stock/1", { .bytes = first } }, { "GET /stock/2", { .bytes = first + second } } });
+    useOnly(fixture, server);
+    const std::string address = fixture.startVm(fixture.vmOptions("vm-1")).callerAddress();
+    VmFixture::waitForLookup(address);
+    RawClient client(address);
+    CHECK(client.ask(get("/stock/1")).body == "first");
+    CHECK(client.ask(get("/stock/2")).body == "second");
+}
+
 // Guards against two faults when a caller aborts its upload: a slot that stays occupied because the attempt never ends,
 // and a request that is suspected of having crashed the backend server because its attempt counts as broken.
 TEST_CASE("an upload that its caller aborts frees its slot", "[framing]")
--- a/tests/io/serve.cpp
+++ b/tests/io/serve.cpp
@@ -208,3 +208,28 @@
     CHECK(fixture.runs->runs("left") == 0);
     CHECK(fixture.runs->runs("later") == 1);
 }
+
+// Guards against a planned stop that cuts off requests which have just begun to arrive: no answer is due yet when the
+// process decides to end.
+TEST_CASE("SIGTERM waits for requests that have begun to arrive", "[serve]")
+{
+    VmFixture fixture;
+    ServeProcess vm("vm-1", fixture.store.endpoint(), "");
+    VmFixture::waitForLookup(vm.callers);
+    RawClient halfHeader(vm.callers);
+    RawClient halfBody(vm.callers);
+    halfHeader.send("GET /stock/1 HTTP/1.1\r\nHost: test\r\n");
+    halfBody.send("PUT /uploads/1 HTTP/1.1\r\nHost: test\r\nContent-Length: 6\r\n\r\nhal");
+    std::this_thread::sleep_for(100ms);
+    vm.process.signal(SIGTERM);
+    std::this_thread::sleep_for(900ms); // the process has stopped accepting requests by then
+    halfHeader.send("\r\n");
+    halfBody.send("ves");
+    const RawAnswer get = halfHeader.receive();
+    const RawAnswer put = halfBody.receive();
+    CHECK((get.status() == 200 || get.status() == 503));
+    CHECK(get.isComplete);
+    CHECK((put.status() == 200 || put.status() == 503));
+    CHECK(put.isComplete);
+    CHECK(vm.process.wait() == 0);
+}
