--- a/tests/io/platform_fixture.h
+++ b/tests/io/platform_fixture.h
@@ -44,7 +44,7 @@
     const std::string name;
     std::atomic<bool> dropsAnswers = false; // runs a request, then closes the connection without an answer
     std::atomic<bool> refusesRequests = false; // answers 503 with Not-Executed and doesn't run the request
-    std::atomic<bool> asksForPause = false; // adds "Retry-After: 1.5" to refusals
+    std::atomic<bool> asksForPause = false; // adds "Retry-After: 0.9" to refusals
     std::atomic<bool> announcesLeaving = false; // adds Server-Leaving to each answer
 
 private:
@@ -90,7 +90,7 @@
             response.result(wire::http::status::service_unavailable);
             response.set("Not-Executed", "1");
             if (this->asksForPause)
-                response.set("Retry-After", "1.5");
+                response.set("Retry-After", "0.9");
         } else {
             const std::scoped_lock lock(this->mutex);
             ++this->runCountById[id];
--- a/tests/io/platform_path.cpp
+++ b/tests/io/platform_path.cpp
@@ -196,7 +196,7 @@
         CHECK(ask() == 200);
     const unsigned before = pausing.arrivalCount();
     const auto begin = std::chrono::steady_clock::now();
-    while (std::chrono::steady_clock::now() - begin < 1300ms)
+    while (std::chrono::steady_clock::now() - begin < 800ms)
         CHECK(ask() == 200);
     CHECK(next > 20);
     CHECK(pausing.arrivalCount() <= before + 2);
--- a/tests/io/process.h
+++ b/tests/io/process.h
@@ -53,6 +53,14 @@
 
     void signal(int number) const { ::kill(this->child, number); }
 
+    // Stops the process and returns once all of its threads have stopped.
+    void stop() const
+    {
+        int status = 0;
+        ::kill(this->child, SIGSTOP);
+        ::waitpid(this->child, &status, WUNTRACED);
+    }
+
     // Waits for the end of the process and returns its exit code, or 128 plus the signal that ended it.
     int wait()
     {
--- a/tests/io/serve.cpp
+++ b/tests/io/serve.cpp
@@ -198,7 +198,7 @@
         clients.push_back(std::make_unique<RawClient>(vm.callers));
         CHECK(clients.back()->ask(get("/stock/1", "X-Work-Id: warm-up\r\n")).status() == 200);
     }
-    vm.process.signal(SIGSTOP);
+    vm.process.stop();
     for (const std::unique_ptr<RawClient>& client : clients)
         client->send(get("/stock/1", "X-Work-Id: left\r\n"));
     clients.clear();
