--- a/src/wire/peer_streams.cpp
+++ b/src/wire/peer_streams.cpp
@@ -121,9 +121,9 @@
         if (error) {
             // For example, no file descriptors are left: waits, because retrying at once would spin.
             log(core::LogComponent::Fleet, spdlog::level::warn, "cannot accept a stream of another member: {}", error.message());
-            Timer timer(this->executor);
-            timer.expires_after(acceptRetryDelay);
-            co_await timer.async_wait(useResult);
+            Timer retryTimer(this->executor);
+            retryTimer.expires_after(acceptRetryDelay);
+            co_await retryTimer.async_wait(useResult);
             continue;
         }
         if (this->incomingStreamCount >= maxIncomingStreams) {
