Answer what is left with an error before a planned stop ends the process

Requests that are left then get 504, which leaves open whether they ran, and 100 ms for it to be written. The wait for first bytes counts towards the drain time.

Test: a server that works for 15 s; the caller gets a whole 504 before the process ends.

--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -12,6 +12,7 @@
 
     constexpr int listenBacklog = 1024;
     constexpr core::Duration firstBytesDelay = std::chrono::milliseconds(200); // of a request, after its connection was accepted
+    constexpr core::Duration lastAnswersDelay = std::chrono::milliseconds(100); // for writing errors before the process ends
     constexpr core::Duration maxObservationDelay = std::chrono::milliseconds(100);
     constexpr std::size_t maxObservationBatch = 1000;
 
@@ -85,6 +86,7 @@
 Task<void> Worker::drain(core::Duration timeout)
 {
     this->isDraining = true;
+    const core::TimePoint end = steadyNow() + timeout;
     for (const Listener& listener : this->listeners) {
         this->acceptPending(listener);
         listener.acceptor->close();
@@ -96,9 +98,17 @@
     if (this->isIdle())
         co_return;
     this->drainTimer = std::make_unique<Timer>(this->executor());
-    this->drainTimer->expires_after(timeout);
+    this->drainTimer->expires_at(end);
     co_await this->drainTimer->async_wait(useResult);
     this->drainTimer.reset();
+    if (this->exchanges.empty())
+        co_return;
+    // An error that leaves open whether the request has run: it may be in flight, or be sent before the process ends.
+    for (const auto& [id, exchange] : this->exchanges)
+        exchange->decision.try_send(error_code(), EngineDecision(request::Reject { .request = id, .error = core::ErrorKind::DeadlinePassed, .key = {}, .retryAfter = {} }));
+    Timer lastAnswers(this->executor());
+    lastAnswers.expires_after(lastAnswersDelay);
+    co_await lastAnswers.async_wait(useResult);
 }
 
 void Worker::setTable(core::SteeringTablePointer newTable)
--- a/tests/io/serve.cpp
+++ b/tests/io/serve.cpp
@@ -17,8 +17,8 @@
 // A `serve` process. It listens on ports that the kernel assigns; the addresses are read from its log.
 class ServeProcess {
 public:
-    ServeProcess(const std::string& name, const std::string& store, const std::string& seedPeer)
-        : settings(settingsText(name, store, seedPeer))
+    ServeProcess(const std::string& name, const std::string& store, const std::string& seedPeer, const std::string& shutdown = R"("acceptMs": 300, "drainMs": 20000)")
+        : settings(settingsText(name, store, seedPeer, shutdown))
         , process({ "serve", "--settings", this->settings.path() })
     {
         const std::string log = this->process.readUntil("other entry VMs on ");
@@ -44,12 +44,12 @@
     std::string peers;
 
 private:
-    static std::string settingsText(const std::string& name, const std::string& store, const std::string& seedPeer)
+    static std::string settingsText(const std::string& name, const std::string& store, const std::string& seedPeer, const std::string& shutdown)
     {
         return R"({ "name": ")" + name + R"(", "failureDomain": "north-1", // comments are allowed
             "callerAddress": "127.0.0.1:0", "adminAddress": "127.0.0.1:0", "peerAddress": "127.0.0.1:0",
             "storeAddress": ")"
-            + store + R"(", "peers": [)" + (seedPeer.empty() ? "" : '"' + seedPeer + '"') + R"(], "shutdown": { "acceptMs": 300, "drainMs": 20000 } })";
+            + store + R"(", "peers": [)" + (seedPeer.empty() ? "" : '"' + seedPeer + '"') + R"(], "shutdown": { )" + shutdown + " } }";
     }
 
     static std::string textAfter(const std::string& log, const std::string& mark)
@@ -233,3 +233,22 @@
     CHECK(put.isComplete);
     CHECK(vm.process.wait() == 0);
 }
+
+// Guards against a planned stop that closes the connection of a request without an answer, because its server is silent
+// until the process has to end.
+TEST_CASE("requests without an answer get an error before the process ends", "[serve]")
+{
+    VmFixture fixture;
+    ServeProcess vm("vm-1", fixture.store.endpoint(), "", R"("within": "2s")");
+    VmFixture::waitForLookup(vm.callers);
+    RawClient client(vm.callers);
+    client.send(get("/stock/1", "X-Work-Us: 15000000\r\n"));
+    std::this_thread::sleep_for(100ms);
+    const auto start = std::chrono::steady_clock::now();
+    vm.process.signal(SIGTERM);
+    const RawAnswer answer = client.receive();
+    CHECK(answer.status() == 504);
+    CHECK(answer.isComplete);
+    CHECK(vm.process.wait() == 0);
+    CHECK(std::chrono::steady_clock::now() - start < 2s);
+}
