--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -17,8 +17,11 @@
     for (const rig::Case& entry : rig::cases) {
         if (name == entry.name) {
             const int result = entry.run(record);
-            std::printf("%s: %s (TROUBLE=%d)\n", argv[1], result == 1 ? "the rule was broken" : result == 0 ? "the rule held" : "the case couldn't run", rig::hasTrouble() ? 1 : 0);
-            record.line(result == 1 ? "result: the rule was broken" : result == 0 ? "result: the rule held" : "result: the case couldn't run");
+            std::printf("%s: %s (TROUBLE=%d)\n", argv[1], result == 1 ? "the rule was broken" : result == 0 ? "the rule held"
+                                                                                                            : "the case couldn't run",
+                rig::hasTrouble() ? 1 : 0);
+            record.line(result == 1 ? "result: the rule was broken" : result == 0 ? "result: the rule held"
+                                                                                  : "result: the case couldn't run");
             return result;
         }
     }
