Keep attempts of a request off connections on which it was refused

Cause: after a refusal the connection went back to the pool and carried the next attempt of the same order. The server repeated the refusal late; answers are matched by the caller's request id, which both attempts share, so the copy counted as the answer to the second attempt, which ran.

Ruled out: copies on the connection of another request (other id, skipped) and on an idle connection (unread bytes, not used).

The new test failed before the change: the order ran 3 times, with 5 arrivals, where 1 and 3 are right. Now it passes: an attempt never uses a connection on which an attempt of its request was refused or misdirected, so a copy can only meet another id. The native interface shares the code.

--- a/src/wire/connection_pool.cpp
+++ b/src/wire/connection_pool.cpp
@@ -19,15 +19,18 @@
 
 }
 
-std::unique_ptr<BackendConnection> ConnectionPool::take(const std::string& address, core::TimePoint now)
+std::unique_ptr<BackendConnection> ConnectionPool::take(const std::string& address, std::span<const std::uint64_t> excluded, core::TimePoint now)
 {
     const auto found = this->idle.find(address);
     if (found == this->idle.end())
         return nullptr;
     // Takes the most recently used connection first, so that the others reach maxIdleTime and are closed.
-    while (!found->second.empty()) {
-        std::unique_ptr<BackendConnection> connection = std::move(found->second.back());
-        found->second.pop_back();
+    std::vector<std::unique_ptr<BackendConnection>>& connections = found->second;
+    for (std::size_t i = connections.size(); i-- > 0;) {
+        if (std::ranges::find(excluded, connections[i]->number) != excluded.end())
+            continue;
+        std::unique_ptr<BackendConnection> connection = std::move(connections[i]);
+        connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(i));
         if (now - connection->idleSince < std::min(this->options.maxIdleTime, connection->serverIdleTimeout) && connection->buffer.size() == 0 && isIdleAndOpen(*connection))
             return connection;
     }
--- a/src/wire/connection_pool.h
+++ b/src/wire/connection_pool.h
@@ -4,6 +4,7 @@
 #include "wire/asio.h"
 
 #include <memory>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -12,11 +13,13 @@
 
 // A connection to a backend server, with the bytes received but not parsed yet.
 struct BackendConnection {
-    explicit BackendConnection(const Executor& executor)
-        : stream(executor)
+    BackendConnection(const Executor& executor, std::uint64_t connectionNumber)
+        : number(connectionNumber)
+        , stream(executor)
     {
     }
 
+    const std::uint64_t number; // differs between all connections of one traffic thread
     Stream stream;
     beast::flat_buffer buffer;
     core::TimePoint idleSince {};
@@ -37,8 +40,9 @@
     {
     }
 
-    // Removes and returns an idle connection that the server has not closed, or returns null if there is none.
-    std::unique_ptr<BackendConnection> take(const std::string& address, core::TimePoint now);
+    // Removes and returns an idle connection that the server has not closed and whose number is not in `excluded`, or
+    // returns null if there is none.
+    std::unique_ptr<BackendConnection> take(const std::string& address, std::span<const std::uint64_t> excluded, core::TimePoint now);
 
     // Adds a connection on which no answer is outstanding.
     void put(const std::string& address, std::unique_ptr<BackendConnection>, core::TimePoint now);
--- a/src/wire/upstream_impl.h
+++ b/src/wire/upstream_impl.h
@@ -35,13 +35,13 @@
 
 // Takes an idle connection from the pool or opens a new one. A new one is stored in the attempt before the wait, so
 // that a cancellation can close it. Returns false if connecting failed or the attempt was cancelled meanwhile.
-inline Task<bool> openConnection(Worker& worker, BackendAttempt& attempt)
+inline Task<bool> openConnection(Worker& worker, const Exchange& exchange, BackendAttempt& attempt)
 {
-    if (std::unique_ptr<BackendConnection> idle = worker.connections().take(attempt.address, steadyNow())) {
+    if (std::unique_ptr<BackendConnection> idle = worker.connections().take(attempt.address, exchange.refusedOn, steadyNow())) {
         attempt.connection = std::move(idle);
         co_return true;
     }
-    attempt.connection = std::make_unique<BackendConnection>(worker.executor());
+    attempt.connection = std::make_unique<BackendConnection>(worker.executor(), worker.nextConnectionNumber());
     attempt.connection->stream.expires_after(worker.limits().connectTimeout);
     const core::TimePoint begin = steadyNow();
     auto [error] = co_await attempt.connection->stream.async_connect(parseEndpoint(attempt.address), useResult);
@@ -159,7 +159,7 @@
     const auto endedWith = [&](AttemptResult result) {
         return AttemptHead { .result = attempt.cancelled && result != AttemptResult::ConnectFailed ? AttemptResult::Cancelled : result };
     };
-    const bool connected = co_await openConnection(worker, attempt);
+    const bool connected = co_await openConnection(worker, exchange, attempt);
     if (!connected)
         co_return endedWith(AttemptResult::ConnectFailed);
     const SendResult sent = co_await sendRequest<DialectType>(worker, exchange, attempt, source);
@@ -185,6 +185,7 @@
         head.retryAfter = retryAfterField(header);
     if (match == AnswerMatch::Refused || match == AnswerMatch::Misdirected) {
         head.result = match == AnswerMatch::Refused ? AttemptResult::Refused : AttemptResult::Misdirected;
+        exchange.refusedOn.push_back(attempt.connection->number);
         attempt.connection->stream.expires_after(refusalBodyTimeout);
         if (!co_await readBody(attempt, attempt.bodyPrefix, readChunkBytes) && attempt.parser->is_done())
             returnToPool(worker, attempt);
--- a/src/wire/worker.h
+++ b/src/wire/worker.h
@@ -76,6 +76,7 @@
     bool isShuttingDown() const { return this->isDraining || this->currentTable->leaving; }
 
     core::RequestId nextRequestId();
+    std::uint64_t nextConnectionNumber() { return ++this->lastConnectionNumber; }
 
     // Passes an event to the engine and executes the resulting commands.
     void handle(const request::Event&);
@@ -146,6 +147,7 @@
     request::Observations observations; // not yet reported to control
     Timer observationTimer;
     std::uint64_t lastRequestNumber = 0;
+    std::uint64_t lastConnectionNumber = 0; // of a connection to a backend server
     bool isDraining = false;
     std::thread thread;
 };
--- a/tests/io/platform_fixture.h
+++ b/tests/io/platform_fixture.h
@@ -41,11 +41,20 @@
         return sum;
     }
 
+    // The body of the request with this id, as it arrived here.
+    std::string receivedBody(const std::string& request)
+    {
+        const std::scoped_lock lock(this->mutex);
+        return this->bodyById[request];
+    }
+
     const std::string name;
     std::atomic<bool> dropsAnswers = false; // runs a request, then closes the connection without an answer
     std::atomic<bool> refusesRequests = false; // answers 503 with Not-Executed and doesn't run the request
     std::atomic<bool> asksForPause = false; // adds "Retry-After: 0.9" to refusals
     std::atomic<bool> announcesLeaving = false; // adds Server-Leaving to each answer
+    // Refuses this many requests. Each refusal is written once more when the next request arrives on its connection.
+    std::atomic<int> repeatedRefusals = 0;
 
 private:
     using Request = wire::http::request<wire::http::string_body>;
@@ -62,20 +71,27 @@
     asio::awaitable<void> serve(asio::ip::tcp::socket socket)
     {
         boost::beast::flat_buffer buffer;
+        std::optional<Response> lateCopy;
         for (boost::system::error_code error; !error;) {
             Request request;
             co_await wire::http::async_read(socket, buffer, request, asio::redirect_error(asio::use_awaitable, error));
             if (error)
                 co_return;
-            Response response = this->answer(request);
+            if (lateCopy)
+                co_await wire::http::async_write(socket, *lateCopy, asio::redirect_error(asio::use_awaitable, error));
+            lateCopy.reset();
+            const bool refusesAndRepeats = this->repeatedRefusals > 0 && this->repeatedRefusals-- > 0;
+            Response response = this->answer(request, refusesAndRepeats);
             if (this->dropsAnswers)
                 co_return;
             response.prepare_payload();
             co_await wire::http::async_write(socket, response, asio::redirect_error(asio::use_awaitable, error));
+            if (refusesAndRepeats)
+                lateCopy = response;
         }
     }
 
-    Response answer(const Request& request)
+    Response answer(const Request& request, bool refuses)
     {
         const std::string id(request["Request-Id"]);
         Response response(wire::http::status::ok, 11);
@@ -86,7 +102,7 @@
             response.set("Server-Leaving", "1");
         if (request["Expect-Instance"] != this->name)
             response.result(wire::http::status::misdirected_request);
-        else if (this->refusesRequests) {
+        else if (this->refusesRequests || refuses) {
             response.result(wire::http::status::service_unavailable);
             response.set("Not-Executed", "1");
             if (this->asksForPause)
@@ -94,6 +110,7 @@
         } else {
             const std::scoped_lock lock(this->mutex);
             ++this->runCountById[id];
+            this->bodyById[id] = request.body();
             response.set("Server-Stamp", "stamp of " + this->name);
             response.body() = "answer of " + this->name + " to " + std::string(request.target());
         }
@@ -105,6 +122,7 @@
     std::atomic<unsigned> arrivals = 0;
     std::mutex mutex;
     std::map<std::string, unsigned> runCountById;
+    std::map<std::string, std::string> bodyById;
 };
 
 // The platform's store and backend servers in this process, and entry VMs with the platform's setup. The configuration
--- a/tests/io/platform_path.cpp
+++ b/tests/io/platform_path.cpp
@@ -258,3 +258,16 @@
     fixture.writeConfiguration(2, "/other/");
     CHECK(timeUntil([&] { return RawClient(vm.callers).ask(post("/other/1", "bell", PlatformFixture::requestFields("late"))).status() == 200; }, 2s) < 2s);
 }
+
+// Guards against running an unsafe request twice, or answering 503 for one that has run: its server writes an earlier
+// refusal once more, on the connection on which the same request has been sent again.
+TEST_CASE("a late copy of a refusal is not taken for the answer to the next attempt", "[platform-path]")
+{
+    PlatformFixture fixture(1);
+    const PlatformFixture::Addresses vm = fixture.startVm("front-1");
+    REQUIRE(becomesReady(vm));
+    fixture.servers[0]->repeatedRefusals = 2;
+    CHECK(RawClient(vm.callers).ask(post("/write/1", "bell", PlatformFixture::requestFields("order"))).status() == 200);
+    CHECK(fixture.runCount("order") == 1);
+    CHECK(fixture.servers[0]->arrivalCount() == 3);
+}
