Keep the framing fields that a Connection field lists

Cause: removeHopByHop() removed every field that Connection lists, also Content-Length and Transfer-Encoding, and the body was sent without them. The same function handled answers, whose callers then could not find the end. Of several Connection fields only the first was read.

The new test failed before the change: the hidden request ran, and neither body arrived whole. Now framing fields, Host and the dialect's own fields stay, so the list of the caller can't change how a server frames the message. Refusing such requests was weighed: callers that list a field by mistake would be turned away for nothing.

--- a/src/wire/dialect.h
+++ b/src/wire/dialect.h
@@ -3,6 +3,9 @@
 #include "wire/exchange.h"
 #include "wire/text_response.h"
 
+#include <array>
+#include <span>
+
 namespace cranberryshed::wire {
 
 // How an answer that arrived on a backend connection relates to the request that was sent on it.
@@ -30,6 +33,10 @@
     {
         Candidate::maxBufferedAnswerBytes
         } -> std::convertible_to<std::size_t>;
+    // The dialect's own fields that a message keeps even if its Connection field lists them.
+    {
+        Candidate::endToEndFields
+        } -> std::convertible_to<std::span<const std::string_view>>;
     // Fills the members of RequestArrived that this dialect reads from the caller's header: the request key, the
     // deadline and the affinity.
     Candidate::readRequestFields(request, arrival);
@@ -60,6 +67,7 @@
     static constexpr bool answersLookups = true;
     static constexpr bool forwardsCallerAddress = true;
     static constexpr std::size_t maxBufferedAnswerBytes = 0;
+    static constexpr std::array<std::string_view, 4> endToEndFields = { field::requestKey, field::deadline, field::exchangeId, field::backendRun };
 
     static void readRequestFields(const RequestHeader&, request::RequestArrived&);
     static void addExchangeFields(RequestHeader&, core::RequestId);
--- a/src/wire/header.cpp
+++ b/src/wire/header.cpp
@@ -1,9 +1,12 @@
 #include "wire/header.h"
 
+#include <algorithm>
 #include <array>
 #include <cctype>
 #include <charconv>
 #include <cmath>
+#include <string>
+#include <vector>
 
 namespace cranberryshed::wire {
 
@@ -14,6 +17,26 @@
         http::field::proxy_authorization, http::field::te, http::field::trailer, http::field::upgrade, http::field::expect
     };
 
+    constexpr std::array alwaysEndToEndFields = { http::field::content_length, http::field::transfer_encoding, http::field::host };
+
+    bool isEndToEnd(beast::string_view name, std::span<const std::string_view> endToEnd)
+    {
+        const bool isAlways = std::ranges::any_of(alwaysEndToEndFields, [&](http::field field) { return beast::iequals(name, http::to_string(field)); });
+        return isAlways || std::ranges::any_of(endToEnd, [&](std::string_view field) { return beast::iequals(name, { field.data(), field.size() }); });
+    }
+
+    // The names that all Connection fields list.
+    std::vector<std::string> connectionOptions(const Fields& fields)
+    {
+        std::vector<std::string> options;
+        const auto [begin, end] = fields.equal_range(http::field::connection);
+        for (auto entry = begin; entry != end; ++entry) {
+            for (const auto& option : http::token_list(entry->value()))
+                options.emplace_back(option);
+        }
+        return options;
+    }
+
     std::optional<char> decodeHexPair(std::string_view pair)
     {
         unsigned value = 0;
@@ -58,11 +81,12 @@
     return std::nullopt;
 }
 
-void removeHopByHop(Fields& fields)
+void removeHopByHop(Fields& fields, std::span<const std::string_view> endToEnd)
 {
-    const std::string listed(fields[http::field::connection]);
-    for (const auto& name : http::token_list(listed))
-        fields.erase(name);
+    for (const std::string& name : connectionOptions(fields)) {
+        if (!isEndToEnd(name, endToEnd))
+            fields.erase(name);
+    }
     for (const http::field name : hopByHopFields)
         fields.erase(name);
 }
--- a/src/wire/header.h
+++ b/src/wire/header.h
@@ -5,6 +5,7 @@
 #include "wire/asio.h"
 
 #include <optional>
+#include <span>
 #include <string_view>
 
 namespace cranberryshed::wire {
@@ -23,8 +24,10 @@
 std::optional<core::ErrorKind> checkHeader(const RequestHeader&);
 
 // Removes the hop-by-hop fields: those listed in Connection and those that apply to a single connection (RFC 9110,
-// section 7.6.1). Also removes Expect, which this proxy has handled already.
-void removeHopByHop(Fields&);
+// section 7.6.1). Also removes Expect, which this proxy has handled already. Keeps Content-Length, Transfer-Encoding,
+// Host and the fields in `endToEnd` even if Connection lists them: they are meant for the final recipient, and without
+// the first two it would take the body for the next message.
+void removeHopByHop(Fields&, std::span<const std::string_view> endToEnd);
 
 // Returns the percent-decoded value of a query parameter, or nothing if it is absent.
 std::optional<std::string> queryParameter(std::string_view target, std::string_view name);
--- a/src/wire/relay_answer.h
+++ b/src/wire/relay_answer.h
@@ -18,12 +18,13 @@
 
 // Adapts the answer's framing to the caller's HTTP version. Returns false if only closing the connection can mark the
 // end of the answer.
-inline bool prepareForCaller(const BackendAttempt& attempt, unsigned callerVersion, bool keepAlive)
+template <Dialect DialectType>
+bool prepareForCaller(const BackendAttempt& attempt, unsigned callerVersion, bool keepAlive)
 {
     BackendParser& parser = *attempt.parser;
     auto& message = parser.get();
     const bool hasLength = parser.content_length().has_value();
-    removeHopByHop(message.base());
+    removeHopByHop(message.base(), DialectType::endToEndFields);
     const bool chunkable = callerVersion >= 11;
     const bool unbounded = !hasLength && !parser.is_done();
     // An answer without a body, such as one to HEAD, must not end with a last chunk.
@@ -67,12 +68,13 @@
 
 // Relays the answer of an attempt to the caller with a buffer of at most relayBufferBytes. If either side fails, the
 // caller's connection is closed before the end of the answer is written, so that the caller can't take it for complete.
-inline Task<RelayResult> relayAnswer(Worker& worker, BackendAttempt& attempt, RelayTarget target)
+template <Dialect DialectType>
+Task<RelayResult> relayAnswer(Worker& worker, BackendAttempt& attempt, RelayTarget target)
 {
     Stream& caller = target.stream;
     BackendParser& parser = *attempt.parser;
     auto& message = parser.get();
-    const bool isEndMarked = prepareForCaller(attempt, target.httpVersion, target.keepAlive);
+    const bool isEndMarked = prepareForCaller<DialectType>(attempt, target.httpVersion, target.keepAlive);
     const std::size_t chunkSize = parser.is_done() ? 0 : std::min<std::uint64_t>(worker.limits().relayBufferBytes, parser.content_length().value_or(worker.limits().relayBufferBytes));
     const std::unique_ptr<char[]> chunk = makeBuffer(chunkSize);
     http::response_serializer<http::buffer_body> serializer(message);
--- a/src/wire/session_impl.h
+++ b/src/wire/session_impl.h
@@ -158,7 +158,7 @@
             exchange->relayUntil = exchange->arrivedAt + *arrival.deadline + relayGrace;
         if (const std::optional<core::ClassIndex> found = request::matchClass(*this->worker.table(), arrival.host, arrival.method, arrival.target))
             exchange->className = this->worker.table()->at(*found).name;
-        prepareForBackend(exchange->header);
+        removeHopByHop(exchange->header, DialectType::endToEndFields);
         DialectType::addExchangeFields(exchange->header, exchange->id);
         if constexpr (DialectType::forwardsCallerAddress)
             exchange->header.insert("X-Forwarded-For", this->address.to_string());
@@ -283,7 +283,7 @@
         const bool keepAlive = this->parser->keep_alive() && this->parser->is_done() && !this->worker.isShuttingDown();
         const std::uint16_t status = static_cast<std::uint16_t>(attempt.parser->get().result_int());
         const RelayTarget target { .stream = this->stream, .httpVersion = this->parser->get().version(), .keepAlive = keepAlive, .until = exchange.relayUntil };
-        const RelayResult result = co_await relayAnswer(this->worker, attempt, target);
+        const RelayResult result = co_await relayAnswer<DialectType>(this->worker, attempt, target);
         this->countAnswer(exchange, status, result);
         logAnswered(exchange, status, result.attemptResult, steadyNow());
         this->worker.handle(request::AttemptEnded { .request = exchange.id, .attempt = attempt.id, .result = result.attemptResult, .status = status, .retryAfter = {}, .load = attempt.load, .bytes = result.bytes, .connectTime = attempt.connectTime, .isServerLeaving = attempt.isServerLeaving });
--- a/src/wire/upstream_impl.h
+++ b/src/wire/upstream_impl.h
@@ -146,11 +146,6 @@
     co_return co_await streamBody(worker, attempt, source);
 }
 
-inline void prepareForBackend(RequestHeader& header)
-{
-    removeHopByHop(header);
-}
-
 // Connects, sends the request and reads up to the end of the answer's head. Then reads the body up to the number of
 // bytes that the dialect buffers.
 template <Dialect DialectType>
--- a/tests/io/platform_path.cpp
+++ b/tests/io/platform_path.cpp
@@ -271,3 +271,22 @@
     CHECK(fixture.runCount("order") == 1);
     CHECK(fixture.servers[0]->arrivalCount() == 3);
 }
+
+// Guards against a body that reaches a server as a request of its own: the caller's Connection field lists the fields
+// that frame the body, and a proxy that removes them sends the body without its length.
+TEST_CASE("a request can't remove its framing or its id by listing them in Connection", "[platform-path]")
+{
+    PlatformFixture fixture(1);
+    const PlatformFixture::Addresses vm = fixture.startVm("front-1");
+    REQUIRE(becomesReady(vm));
+    const std::string hidden = post("/write/hidden", "bell", "Request-Id: hidden\r\nExpect-Instance: i-1\r\nDeadline-Ms: 2000\r\n");
+    const std::string options = "Connection: Content-Length, transfer-encoding\r\nConnection: Request-Id, Host, Deadline-Ms, X-Private\r\nX-Private: 1\r\n";
+    CHECK(RawClient(vm.callers).ask(post("/write/1", hidden, options + PlatformFixture::requestFields("sized"))).status() == 200);
+    const std::string chunked = "POST /write/1 HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n" + options + PlatformFixture::requestFields("chunked") + "\r\n4\r\nbell\r\n0\r\n\r\n";
+    CHECK(RawClient(vm.callers).ask(chunked).status() == 200);
+    std::this_thread::sleep_for(200ms); // a hidden request would arrive later than the answer
+    CHECK(fixture.runCount("hidden") == 0);
+    CHECK(fixture.servers[0]->totalRunCount() == 2);
+    CHECK(fixture.servers[0]->receivedBody("sized") == hidden);
+    CHECK(fixture.servers[0]->receivedBody("chunked") == "bell");
+}
