State the length of complete answers with an empty body

Cause: prepareForCaller() removed the framing of each complete answer and set a length only for a body that wasn't empty. On a connection that stays open, an answer without length and chunks has no end.

The new test failed before the change (no Content-Length on an empty 500, on an empty 200, on HEAD). Now a complete answer always states its length; HEAD and 304 keep the server's, 204 has none.

--- a/src/wire/relay_answer.h
+++ b/src/wire/relay_answer.h
@@ -16,6 +16,21 @@
     std::uint64_t bytes = 0; // written to the caller
 };
 
+// Sets the framing of an answer that was received completely. Its length must be stated even if it is 0: without a
+// length and without chunks, only the end of the connection would mark the end of the answer.
+inline void frameCompleteAnswer(const BackendAttempt& attempt)
+{
+    auto& message = attempt.parser->get();
+    const boost::optional<std::uint64_t> statedLength = attempt.parser->content_length();
+    message.chunked(false); // also removes Content-Length
+    const bool isNotModified = message.result() == http::status::not_modified;
+    if (attempt.hasNoBody || isNotModified) {
+        if (statedLength)
+            message.content_length(*statedLength); // of the body that the answer to a GET would have
+    } else if (message.result() != http::status::no_content)
+        message.content_length(attempt.bodyPrefix.size());
+}
+
 // Adapts the answer's framing to the caller's HTTP version. Returns false if only closing the connection can mark the
 // end of the answer.
 template <Dialect DialectType>
@@ -27,12 +42,10 @@
     removeHopByHop(message.base(), DialectType::endToEndFields);
     const bool chunkable = callerVersion >= 11;
     const bool unbounded = !hasLength && !parser.is_done();
-    // An answer without a body, such as one to HEAD, must not end with a last chunk.
-    if (unbounded || parser.is_done())
-        message.chunked(unbounded && chunkable);
-    // chunked() has also removed Content-Length.
-    if (!attempt.bodyPrefix.empty() && parser.is_done())
-        message.content_length(attempt.bodyPrefix.size());
+    if (parser.is_done())
+        frameCompleteAnswer(attempt);
+    else if (unbounded)
+        message.chunked(chunkable);
     message.version(11);
     message.keep_alive(keepAlive && (!unbounded || chunkable));
     return !unbounded || chunkable;
--- a/tests/io/framing.cpp
+++ b/tests/io/framing.cpp
@@ -63,6 +63,36 @@
     CHECK(sized());
 }
 
+// Guards against an answer whose end its caller can't find: without a length and without chunks, an empty body on a
+// connection that stays open looks unfinished.
+TEST_CASE("the end of an answer with an empty body is marked", "[framing]")
+{
+    VmFixture fixture(0);
+    RawServer server({
+        { "GET /stock/failed", { .bytes = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n" } },
+        { "GET /stock/empty", { .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" } },
+        { "GET /stock/none", { .bytes = "HTTP/1.1 204 No Content\r\n\r\n" } },
+        { "HEAD /stock/sized", { .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n" } },
+        { "GET /stock/listed", { .bytes = "HTTP/1.1 200 OK\r\nConnection: Content-Length\r\nContent-Length: 4\r\n\r\nbell" } },
+    });
+    fixture.declareClass("heads", "HEAD", "/stock/", "idempotent", "short");
+    useOnly(fixture, server);
+    const std::string address = fixture.startVm(fixture.vmOptions("vm-1")).callerAddress();
+    VmFixture::waitForLookup(address);
+    RawClient client(address);
+    const RawAnswer failed = client.ask(get("/stock/failed"));
+    CHECK(failed.status() == 500);
+    CHECK(failed.field("Content-Length") == "0");
+    CHECK(client.ask(get("/stock/empty")).field("Content-Length") == "0");
+    const RawAnswer none = client.ask(get("/stock/none"));
+    CHECK(none.status() == 204);
+    CHECK(none.field("Content-Length").empty());
+    CHECK(client.ask(get("/stock/listed")).body == "bell");
+    client.send("HEAD /stock/sized HTTP/1.1\r\nHost: t\r\n\r\n");
+    CHECK_THAT(client.readUntil("\r\n\r\n"), Catch::Contains("Content-Length: 4"));
+    CHECK(client.ask(get("/stock/empty")).status() == 200);
+}
+
 // Guards against passing a caller the answer to another request: a server sends an answer a second time, when the next
 // request on the connection is already on its way.
 TEST_CASE("a late second copy of an answer is not taken for the next answer", "[framing]")
