Take only requests that end before a planned stop breaks them off

Cause: CheckShutdown took requests for half of the time, whatever their deadline. The shares fit routes of 2.5 s and a grace of 6 s only by chance.

The new test failed before the change: the late order was passed on and answered 504 (may have run) where 503 (not run) is right. Now a request is taken only if its deadline lies before the end of the drain, so nothing that was taken late can be broken off; others are refused at once and can go to another VM. Weighed: other shares of the time, which fit only some routes.

--- a/src/app/entry_vm_impl.h
+++ b/src/app/entry_vm_impl.h
@@ -70,6 +70,7 @@
     };
     for (std::uint32_t i = 0; i < this->options.trafficThreads; ++i) {
         wire::Worker::Options worker { .threadIndex = i, .threadCount = this->options.trafficThreads, .chooser = this->options.chooser, .seed = this->options.randomSeed + i, .limits = this->options.limits, .shared = shared, .connectionLimiter = connectionLimiter, .slotNotifier = slotNotifier, .reportObservations = reportObservations };
+        worker.engine.shutdownEnd = this->options.acceptTimeWhileLeaving + this->options.maxDrainTime;
         SetupType::adjustWorkerOptions(this->options, worker);
         this->workers.push_back(std::make_unique<wire::Worker>(std::move(worker)));
         SetupType::listen(this->options, *this->workers.back(), this->callerEndpoint);
--- a/src/request/state.h
+++ b/src/request/state.h
@@ -31,6 +31,9 @@
     // leaving. Callers can use a look-up answer for up to 6 s, and a table reaches a traffic thread within a fraction
     // of a second.
     core::Duration shutdownGrace = std::chrono::seconds(8);
+    // The time from that mark until what is still in flight is broken off. A new request whose deadline is later is not
+    // taken: it may not be repeated by its caller once it has begun to run.
+    core::Duration shutdownEnd = core::Duration::max();
     std::size_t maxIsolations = 2; // servers that one thread reserves for suspects at the same time
     // How long the error answer to a request that was in flight in a crash is delayed, at most until its deadline.
     // Otherwise its caller could resend it at once through an entry VM that has not yet learned of the suspect.
--- a/tests/io/serve.cpp
+++ b/tests/io/serve.cpp
@@ -252,3 +252,22 @@
     CHECK(vm.process.wait() == 0);
     CHECK(std::chrono::steady_clock::now() - start < 2s);
 }
+
+// Guards against requests that are taken late in a planned stop and broken off at its end. The class's deadline is 20 s:
+// a request that can still run when the process has to end is refused as not run, one that ends in time is served.
+TEST_CASE("a planned stop takes only requests that end before the process does", "[serve]")
+{
+    VmFixture fixture(1);
+    ServeProcess vm("vm-1", fixture.store.endpoint(), "", R"("within": "4s")");
+    VmFixture::waitForLookup(vm.callers, "order");
+    const std::string key(boost::json::parse(RawClient(vm.callers).ask(get("/v1/entry?class=order")).body).at("requestKey").as_string());
+    vm.process.signal(SIGTERM);
+    std::this_thread::sleep_for(300ms);
+    RawClient late(vm.callers);
+    const RawAnswer refused = late.ask(post("/orders/1", "bell", "X-Work-Id: late\r\nX-Work-Us: 6000000\r\nX-Request-Key: " + key + "\r\n"));
+    CHECK(refused.status() == 503);
+    CHECK(refused.field("X-Cranberryshed-Run") == "not-run");
+    CHECK(fixture.runs->runs("late") == 0);
+    CHECK(RawClient(vm.callers).ask(get("/stock/1", "X-Work-Id: short\r\nX-Work-Us: 300000\r\nX-Deadline-Ms: 1500\r\n")).status() == 200);
+    CHECK(vm.process.wait() == 0);
+}
