Drain all traffic threads of a planned stop at the same time

What callers would see: with two traffic threads, requests of the second are cut by SIGKILL without an answer.

Cause: the threads were drained one after the other, each for the whole drain time: 1 s + 2 x 0.84 s of 2 s in the new test. Now they share one span. The platform uses one traffic thread, so this concerns the native interface. The test was not run on the old code; the sequence is read from it.

--- a/src/app/entry_vm.h
+++ b/src/app/entry_vm.h
@@ -83,6 +83,7 @@
 
     typename Loop::Options controlOptions(core::Incarnation) const;
     wire::Task<void> drain(std::function<void()> done);
+    wire::Task<void> drainWorkers();
     wire::Task<wire::TextResponse> dumpPage();
     wire::Task<wire::TextResponse> metricsPage();
     wire::Task<wire::TrafficMetrics> collectMetrics();
--- a/src/app/entry_vm_impl.h
+++ b/src/app/entry_vm_impl.h
@@ -127,13 +127,27 @@
     wire::Timer timer(this->context->get_executor());
     timer.expires_after(this->options.acceptTimeWhileLeaving);
     co_await timer.async_wait(useResult);
-    for (const std::unique_ptr<wire::Worker>& worker : this->workers)
-        co_await asio::co_spawn(worker->executor(), worker->drain(this->options.maxDrainTime), useTask);
+    co_await this->drainWorkers();
     this->controlLoop->stop();
     wire::logEvent(wire::LogEvent::Stop, { { wire::LogField::Member, this->options.name }, { wire::LogField::State, "stopped" } });
     done();
 }
 
+// Drains all traffic threads at the same time, so that the last one also ends within maxDrainTime.
+template <EntryVmSetup SetupType>
+Task<void> BasicEntryVm<SetupType>::drainWorkers()
+{
+    wire::Timer allDrained(this->context->get_executor(), wire::Timer::time_point::max());
+    std::size_t draining = this->workers.size();
+    for (const std::unique_ptr<wire::Worker>& worker : this->workers) {
+        asio::co_spawn(worker->executor(), worker->drain(this->options.maxDrainTime), asio::bind_executor(this->context->get_executor(), [&](const std::exception_ptr&) {
+            if (--draining == 0)
+                allDrained.cancel();
+        }));
+    }
+    co_await allDrained.async_wait(useResult);
+}
+
 template <EntryVmSetup SetupType>
 Task<wire::TrafficMetrics> BasicEntryVm<SetupType>::collectMetrics()
 {
--- a/tests/io/serve.cpp
+++ b/tests/io/serve.cpp
@@ -17,8 +17,8 @@
 // A `serve` process. It listens on ports that the kernel assigns; the addresses are read from its log.
 class ServeProcess {
 public:
-    ServeProcess(const std::string& name, const std::string& store, const std::string& seedPeer, const std::string& shutdown = R"("acceptMs": 300, "drainMs": 20000)")
-        : settings(settingsText(name, store, seedPeer, shutdown))
+    ServeProcess(const std::string& name, const std::string& store, const std::string& seedPeer, const std::string& shutdown = R"("acceptMs": 300, "drainMs": 20000)", unsigned trafficThreads = 1)
+        : settings(settingsText(name, store, seedPeer, shutdown, trafficThreads))
         , process({ "serve", "--settings", this->settings.path() })
     {
         const std::string log = this->process.readUntil("other entry VMs on ");
@@ -44,12 +44,12 @@
     std::string peers;
 
 private:
-    static std::string settingsText(const std::string& name, const std::string& store, const std::string& seedPeer, const std::string& shutdown)
+    static std::string settingsText(const std::string& name, const std::string& store, const std::string& seedPeer, const std::string& shutdown, unsigned trafficThreads)
     {
         return R"({ "name": ")" + name + R"(", "failureDomain": "north-1", // comments are allowed
             "callerAddress": "127.0.0.1:0", "adminAddress": "127.0.0.1:0", "peerAddress": "127.0.0.1:0",
             "storeAddress": ")"
-            + store + R"(", "peers": [)" + (seedPeer.empty() ? "" : '"' + seedPeer + '"') + R"(], "shutdown": { )" + shutdown + " } }";
+            + store + R"(", "peers": [)" + (seedPeer.empty() ? "" : '"' + seedPeer + '"') + R"(], "trafficThreads": )" + std::to_string(trafficThreads) + R"(, "shutdown": { )" + shutdown + " } }";
     }
 
     static std::string textAfter(const std::string& log, const std::string& mark)
@@ -271,3 +271,24 @@
     CHECK(RawClient(vm.callers).ask(get("/stock/1", "X-Work-Id: short\r\nX-Work-Us: 300000\r\nX-Deadline-Ms: 1500\r\n")).status() == 200);
     CHECK(vm.process.wait() == 0);
 }
+
+// Guards against traffic threads that are drained one after the other: the last one would end later than the process is
+// killed, and its requests would get no answer.
+TEST_CASE("a planned stop drains all traffic threads at the same time", "[serve]")
+{
+    VmFixture fixture;
+    ServeProcess vm("vm-1", fixture.store.endpoint(), "", R"("within": "2s")", 2);
+    VmFixture::waitForLookup(vm.callers);
+    std::vector<std::unique_ptr<RawClient>> clients; // the kernel distributes them over both threads
+    for (int i = 0; i < 12; ++i) {
+        clients.push_back(std::make_unique<RawClient>(vm.callers));
+        clients.back()->send(get("/stock/1", "X-Work-Us: 15000000\r\n"));
+    }
+    std::this_thread::sleep_for(100ms);
+    const auto start = std::chrono::steady_clock::now();
+    vm.process.signal(SIGTERM);
+    for (const std::unique_ptr<RawClient>& client : clients)
+        CHECK(client->receive().isComplete);
+    CHECK(vm.process.wait() == 0);
+    CHECK(std::chrono::steady_clock::now() - start < 2s);
+}
