Let one entry VM use a cold server instead of all that share it

Cause: each VM with the server in its home subset used the server's whole rate. With more VMs than servers several do (11 in the grown foundry's `alp`), and home subsets follow each VM's own view: after a start or a cut it has them all.

Now a cold server belongs to one VM by rendezvous hashing, dead members keep theirs for 10 min, and a VM that has not known the fleet for 5 s uses none, so differing views leave a server idle rather than flooded.

The platform's pipe no longer computes home subsets; nothing there reads them.

--- a/src/app/dump.cpp
+++ b/src/app/dump.cpp
@@ -28,6 +28,7 @@
                 { "inFlight", server.slotCounter ? server.slotCounter->inFlight() : 0 },
                 { "warmth", server.warmth },
                 { "home", server.isHome },
+                { "usableCold", server.isUsableCold },
             };
             if (server.report) {
                 row["reportedInFlight"] = server.report->inFlight;
--- a/src/control/build_table.cpp
+++ b/src/control/build_table.cpp
@@ -75,7 +75,7 @@
         else
             counter = std::make_shared<core::SlotCounter>();
         kept.emplace(listing.name, counter);
-        table.servers.push_back({ .name = listing.name, .address = listing.address, .service = listing.service, .batch = listing.batch, .region = server.region, .domain = server.domain, .state = server.state, .slots = listing.slots, .maxConnections = listing.maxConnections, .warmth = server.warmth, .isHome = server.isHome, .report = server.report, .key = core::serverKey(listing), .slotCounter = std::move(counter), .coldUntil = listing.coldUntil });
+        table.servers.push_back({ .name = listing.name, .address = listing.address, .service = listing.service, .batch = listing.batch, .region = server.region, .domain = server.domain, .state = server.state, .slots = listing.slots, .maxConnections = listing.maxConnections, .warmth = server.warmth, .isHome = server.isHome, .isUsableCold = server.isUsableCold, .report = server.report, .key = core::serverKey(listing), .slotCounter = std::move(counter), .coldUntil = listing.coldUntil });
         applyServiceDeclaration(context, table.servers.back());
     }
     // A server that is missing from the list can return while requests to it are in flight, so its counter is kept until
--- a/src/control/pipeline.h
+++ b/src/control/pipeline.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/build_table.h"
+#include "control/cold_servers.h"
 #include "control/drain.h"
 #include "control/health_and_load.h"
 #include "control/home_subset.h"
@@ -23,11 +24,11 @@
 }
 
 // The control pipe where the platform's store is authoritative for the backend servers (platform/platform_feed.h).
-using ServerListPipe = core::Pipe<ApplyServerList, AllowRegions, ChooseHomeSubset, BuildSteeringTable>;
+using ServerListPipe = core::Pipe<ApplyServerList, AllowRegions, AssignColdServers, BuildSteeringTable>;
 
 inline ServerListPipe makeServerListPipe()
 {
-    return ServerListPipe(ApplyServerList {}, AllowRegions {}, ChooseHomeSubset {}, BuildSteeringTable {});
+    return ServerListPipe(ApplyServerList {}, AllowRegions {}, AssignColdServers {}, BuildSteeringTable {});
 }
 
 }
--- a/src/control/pipeline_types.h
+++ b/src/control/pipeline_types.h
@@ -69,6 +69,8 @@
     std::set<std::string> evacuated {}; // failure domains whose servers get no requests until the evacuation ends
     std::string self {}; // name of this VM
     std::string selfDomain {};
+    // When this VM first knew another live member, or that it is the only one; none: it can't tell yet how many there are.
+    std::optional<core::TimePoint> fleetKnownSince {};
     bool leaving = false; // this VM is shutting down
     core::WallTime wallTime {}; // compared with contract dates
 };
@@ -82,6 +84,7 @@
     double warmth = 1; // see core::ServerEntry::warmth
     bool isSlowStarting = false; // its warmth is below 1 because it started recently
     bool isHome = false; // in this VM's home subset
+    bool isUsableCold = false; // see core::ServerEntry::isUsableCold
     std::optional<core::LoadReport> report {};
 };
 
--- a/src/core/steering_table.h
+++ b/src/core/steering_table.h
@@ -74,6 +74,7 @@
     // chooser accepts the server with this probability and uses at most ceil(warmth * slots) slots. 0: no new requests.
     double warmth = 1;
     bool isHome = false; // whether it is in this entry VM's home subset, the servers that this VM prefers
+    bool isUsableCold = false; // whether this entry VM may use it while it is cold; at most one VM may
     std::optional<LoadReport> report;
     std::uint64_t key = 0; // hash of the name, seeded with the time of the server's start; the same in every table
     std::shared_ptr<SlotCounter> slotCounter; // of this process's requests; the same counter in every table
--- a/src/request/earliest_answer.cpp
+++ b/src/request/earliest_answer.cpp
@@ -261,16 +261,16 @@
 }
 
 // A cold server crashes if the total request rate of all entry VMs exceeds its limit (maxColdRequestsPerSecond).
-// Therefore only the entry VM that has the server in its home subset sends requests to it, limited by a token bucket.
+// Therefore control lets one entry VM use it, whose traffic threads share the rate.
 bool EarliestAnswer::canUseCold(const core::ServerEntry& server, core::TimePoint now)
 {
     if (!server.coldUntil || now >= *server.coldUntil)
         return true;
-    if (!server.isHome)
+    if (!server.isUsableCold)
         return false;
     TokenBucket& bucket = this->coldBuckets[server.key];
     const std::chrono::duration<double> passed = now - std::exchange(bucket.filledAt, now);
-    bucket.tokens = std::min(1.0, bucket.tokens + std::min(1.0, passed.count()) * server.maxColdRequestsPerSecond);
+    bucket.tokens = std::min(1.0, bucket.tokens + std::min(1.0, passed.count()) * server.maxColdRequestsPerSecond / this->options.threads);
     return bucket.tokens >= 1;
 }
 
--- a/src/request/earliest_answer.h
+++ b/src/request/earliest_answer.h
@@ -23,6 +23,7 @@
     struct Options {
         ServerEstimate::Options serverEstimate {};
         RegionShareLimiter::Options shareLimiter {};
+        std::uint32_t threads = 1; // traffic threads of this process, each with a chooser of its own
         double minSlotChange = 0.1; // relative change of a region's slots that counts as a change of its servers
         // Round trip times assumed until a connection to the failure domain has been measured.
         core::Duration sameDomainRoundTrip = std::chrono::milliseconds(2);
--- a/src/request/selected_chooser.h
+++ b/src/request/selected_chooser.h
@@ -58,7 +58,7 @@
     {
         switch (kind) {
         case ChooserKind::EarliestAnswer:
-            return EarliestAnswer();
+            return EarliestAnswer({ .threads = threads });
         case ChooserKind::TwoChoices:
             return TwoChoices();
         case ChooserKind::LeastLatency:
--- a/tests/pure/earliest_answer.cpp
+++ b/tests/pure/earliest_answer.cpp
@@ -213,8 +213,8 @@
     CHECK(driver.chooser.trackedServers() <= 3);
 }
 
-// Guards against exceeding the request rate above which a cold server crashes: only the entry VM with the server in its
-// home subset sends requests to it, and no more than the rate allows.
+// Guards against exceeding the request rate above which a cold server crashes: only the entry VM to which it is assigned
+// sends requests to it, and no more than the rate allows.
 TEST_CASE("a cold server gets requests from one entry VM only, up to its rate", "[earliest-answer]")
 {
     Driver driver;
@@ -224,12 +224,12 @@
     server.maxColdRequestsPerSecond = 6;
     SECTION("another entry VM's")
     {
-        server.isHome = false;
+        server.isUsableCold = false;
         CHECK(driver.start(1) != home);
     }
     SECTION("this entry VM's")
     {
-        server.isHome = true;
+        server.isUsableCold = true;
         int sent = 0;
         for (int i = 0; i < 100; ++i) {
             driver.now += 10ms;
