Let a VM that has just started retry, and a lone one use cold servers

Cause: no slack in the first window of a process and none before the fleet is known; cold servers only after 5 s of knowing the fleet, also with nobody else.

Now the first window has the part that the process before can't have spent (0.3 of the slack; 0.7 + 0.3 stay within the bound), ten VMs are assumed until the fleet is known, and a VM that is the only one, by the store and by its members, doesn't wait. Also mended: the oldest bucket's index was negative in the first 10 s of the steady clock.

--- a/src/control/build_table.cpp
+++ b/src/control/build_table.cpp
@@ -13,6 +13,8 @@
     // Load data with a lower confidence, because of its age, is not used for admission control.
     constexpr double minConfidence = 0.3;
 
+    constexpr std::uint32_t assumedFleetSize = 10; // until this VM knows the others
+
     template <typename Entry>
     std::optional<std::uint32_t> indexOf(const std::vector<Entry>& entries, const std::string& name)
     {
@@ -123,8 +125,8 @@
 
 void BuildSteeringTable::addMembers(core::SteeringTable& table, const Context& context) const
 {
-    if (context.inputs.fleetKnownSince)
-        table.fleetSize = std::max(static_cast<std::uint32_t>(context.inputs.members.size()), context.inputs.registeredMembers);
+    const auto knownMembers = static_cast<std::uint32_t>(context.inputs.members.size());
+    table.fleetSize = std::max(knownMembers, context.inputs.fleetKnownSince ? context.inputs.registeredMembers : assumedFleetSize);
     for (const MemberInfo& member : context.inputs.members) {
         const auto domain = indexOf(table.domains, member.domain);
         if (!domain)
--- a/src/control/cold_servers.cpp
+++ b/src/control/cold_servers.cpp
@@ -42,7 +42,9 @@
 {
     const std::vector<std::uint64_t> members = this->eligibleMembers(context, now);
     const ControlInputs& inputs = context.inputs;
-    if (inputs.leaving || !inputs.fleetKnownSince || now - *inputs.fleetKnownSince < settleTime)
+    const bool isAlone = inputs.registeredMembers == 1 && inputs.members.size() == 1;
+    const bool isSettled = inputs.fleetKnownSince && (isAlone || now - *inputs.fleetKnownSince >= settleTime);
+    if (inputs.leaving || !isSettled)
         return Step::pass(std::move(context));
     const std::uint64_t self = core::hashBytes(inputs.self);
     for (BackendServer& server : context.servers) {
--- a/src/control/cold_servers.h
+++ b/src/control/cold_servers.h
@@ -9,7 +9,7 @@
 //
 // Views of the fleet differ for a while, and each VM that takes a server for its own uses the whole rate. So the
 // assignment changes late: a member that is dead keeps its servers for deadRetention, since it can be alive on the other
-// side of a cut, and a VM takes none before it has known the fleet for settleTime. Meanwhile such a server gets no
+// side of a cut, and a VM takes none before it has known the fleet for settleTime, unless it is the only one. Meanwhile such a server gets no
 // requests; it is cold for some seconds only.
 class AssignColdServers {
 public:
--- a/src/core/steering_table.h
+++ b/src/core/steering_table.h
@@ -112,7 +112,7 @@
     std::vector<ServerEntry> servers;
     std::vector<MemberEntry> members;
     // Upper bound of the number of entry VMs, for limits that they share: counts also those that are suspected or dead,
-    // which can be alive on the other side of a cut. 0: unknown.
+    // which can be alive on the other side of a cut.
     std::uint32_t fleetSize = 0;
     MemberIndex self;
     bool leaving = false; // this entry VM is shutting down
--- a/src/request/retry_allowance.cpp
+++ b/src/request/retry_allowance.cpp
@@ -24,7 +24,15 @@
     this->bucket(this->newestBucket).requests += 1;
 }
 
-bool RetryAllowance::trySpend(const Options& options, std::size_t slackSharers, core::TimePoint now)
+double RetryAllowance::ownSlack(const Options& options, std::size_t slackSharers, bool isFirstWindow)
+{
+    if (slackSharers == 0)
+        return 0;
+    const double fraction = isFirstWindow ? 1 - options.usedFraction : options.usedFraction;
+    return fraction * options.slack / static_cast<double>(slackSharers) / options.threads;
+}
+
+bool RetryAllowance::trySpend(const Options& options, std::size_t slackSharers, core::TimePoint now, core::TimePoint startedAt)
 {
     this->advance(options, now);
     double requests = 0;
@@ -33,9 +41,9 @@
         requests += counted.requests;
         extraAttempts += counted.extraAttempts;
     }
-    requests -= this->bucket(this->newestBucket - static_cast<std::int64_t>(bucketsPerWindow)).requests; // partly before the window
-    const double slack = slackSharers > 0 ? options.slack / static_cast<double>(slackSharers) / options.threads : 0;
-    if (extraAttempts + 1 > options.usedFraction * (options.share * requests + slack))
+    requests -= this->bucket(this->newestBucket + 1).requests; // the oldest bucket, partly before the window
+    const double slack = ownSlack(options, slackSharers, now - startedAt < options.window);
+    if (extraAttempts + 1 > options.usedFraction * options.share * requests + slack)
         return false;
     this->bucket(this->newestBucket).extraAttempts += 1;
     return true;
--- a/src/request/retry_allowance.h
+++ b/src/request/retry_allowance.h
@@ -24,8 +24,9 @@
     void countRequest(const Options&, core::TimePoint now);
 
     // Takes one extra attempt. Returns false if the window has none left. `slackSharers` is the number of entry VMs that
-    // share the slack, an upper bound; if it is 0, this one has no part of it.
-    bool trySpend(const Options&, std::size_t slackSharers, core::TimePoint now);
+    // share the slack, an upper bound; if it is 0, this one has no part of it. In the first window after `startedAt`, the
+    // process has only the part that usedFraction leaves, because a process that ran here before can have used the rest.
+    bool trySpend(const Options&, std::size_t slackSharers, core::TimePoint now, core::TimePoint startedAt = {});
 
     // Counts an extra attempt at the time at which it is sent instead of the time at which it was taken. In between it
     // can wait for seconds, and servers count what arrives.
@@ -41,6 +42,7 @@
         double extraAttempts = 0;
     };
 
+    static double ownSlack(const Options&, std::size_t slackSharers, bool isFirstWindow);
     static std::int64_t bucketNumber(const Options&, core::TimePoint);
     void advance(const Options&, core::TimePoint now);
     Bucket& bucket(std::int64_t number) { return this->counts[static_cast<std::size_t>(number) % bucketCount]; }
--- a/src/request/state.cpp
+++ b/src/request/state.cpp
@@ -146,16 +146,7 @@
 {
     if (this->options.retryAllowance.share <= 0)
         return classState.retryBudget.trySpend(now);
-    return this->retryAllowances[classState.serviceKey].trySpend(this->options.retryAllowance, this->retrySlackSharers(now), now);
-}
-
-// The number of entry VMs that share the slack of the retry allowances. 0 in the first window after the start: a process
-// that ran here before can have used this VM's part.
-std::size_t State::retrySlackSharers(core::TimePoint now) const
-{
-    if (now - this->startedAt.value_or(now) < this->options.retryAllowance.window)
-        return 0;
-    return this->table->fleetSize;
+    return this->retryAllowances[classState.serviceKey].trySpend(this->options.retryAllowance, this->table->fleetSize, now, this->startedAt.value_or(now));
 }
 
 void State::recordRetrySent(ActiveRequest& request, core::TimePoint now)
--- a/src/request/state.h
+++ b/src/request/state.h
@@ -195,7 +195,6 @@
 
 private:
     void settleKey(const ActiveRequest&);
-    std::size_t retrySlackSharers(core::TimePoint now) const;
 
     Commands* commands = nullptr;
     Observations* observations = nullptr;
--- a/tests/pure/cold_servers.cpp
+++ b/tests/pure/cold_servers.cpp
@@ -136,6 +136,18 @@
     }
 }
 
+// Guards against a deployment of one VM whose servers are all cold and get no requests for seconds after its start.
+TEST_CASE("an entry VM that is the only one uses cold servers at once", "[cold-servers]")
+{
+    ColdRegion region;
+    control::ControlInputs& view = region.views[0];
+    view.members = { view.members[0] };
+    view.fleetKnownSince = start;
+    CHECK_FALSE(region.tableOf(0, start)->servers[0].isUsableCold);
+    view.registeredMembers = 1;
+    CHECK(region.tableOf(0, start)->servers[0].isUsableCold);
+}
+
 // Guards against a cold server that nobody uses for long, because the VM to which it is assigned has ended for good.
 TEST_CASE("the cold servers of a VM that has ended are assigned to another one", "[cold-servers]")
 {
--- a/tests/pure/retry_allowance.cpp
+++ b/tests/pure/retry_allowance.cpp
@@ -65,6 +65,22 @@
     CHECK(allowance.trySpend(options, 8, start + 14s));
 }
 
+// Guards against a process that spends a VM's part of the slack again which the process before it has just spent, and
+// against one that can't retry at all at first, so that its callers are refused although another server is free.
+TEST_CASE("in its first window a process has what its predecessor can't have spent", "[retry-allowance]")
+{
+    const request::RetryAllowance::Options options { .share = 0.2, .slack = 50, .usedFraction = 0.7 };
+    const auto spendAll = [&](core::TimePoint startedAt, core::TimePoint now) {
+        request::RetryAllowance allowance;
+        int extra = 0;
+        while (allowance.trySpend(options, 1, now, startedAt))
+            ++extra;
+        return extra;
+    };
+    CHECK(spendAll(start - 1min, start) == 35);
+    CHECK(spendAll(start, start + 1s) == 15);
+}
+
 // Guards against the whole slack in each of several entry VMs: after a start, when a VM can't know yet how many others
 // there are or what its last process has spent, and while it takes others for dead.
 TEST_CASE("an entry VM has a part of the slack only while it knows how many share it", "[retry-allowance]")
