Split the assignment of cold servers; test the parts of traffic threads

What stood twice or did two things: whether a failure domain is in this VM's region (home_subset.cpp had it already, now Context::isInSelfRegion), tracking of dead members beside the choice of candidates, the fleet's size beside the list of members. The times of dead members that left the list were kept for ever; now they go with the member.

Tests: two for limits that traffic threads share, which had none. The soak's record is read under its lock.

--- a/src/control/build_table.cpp
+++ b/src/control/build_table.cpp
@@ -13,7 +13,15 @@
     // Load data with a lower confidence, because of its age, is not used for admission control.
     constexpr double minConfidence = 0.3;
 
-    constexpr std::uint32_t assumedFleetSize = 10; // until this VM knows the others
+    // While this VM doesn't know the others. With a larger number, its part of a limit that the fleet shares would be too
+    // small for a single retry.
+    constexpr std::uint32_t assumedFleetSize = 10;
+
+    std::uint32_t fleetSize(const ControlInputs& inputs)
+    {
+        const auto members = static_cast<std::uint32_t>(inputs.members.size());
+        return std::max(members, inputs.fleetKnownSince ? inputs.registeredMembers : assumedFleetSize);
+    }
 
     template <typename Entry>
     std::optional<std::uint32_t> indexOf(const std::vector<Entry>& entries, const std::string& name)
@@ -50,6 +58,7 @@
     this->addServers(*table, context);
     this->addClasses(*table, context);
     this->addMembers(*table, context);
+    table->fleetSize = fleetSize(context.inputs);
     this->addLookup(*table, context, now);
     for (const core::Fingerprint fingerprint : context.inputs.quarantined)
         table->quarantinedFingerprints.insert(static_cast<std::uint64_t>(fingerprint));
@@ -125,8 +134,6 @@
 
 void BuildSteeringTable::addMembers(core::SteeringTable& table, const Context& context) const
 {
-    const auto knownMembers = static_cast<std::uint32_t>(context.inputs.members.size());
-    table.fleetSize = std::max(knownMembers, context.inputs.fleetKnownSince ? context.inputs.registeredMembers : assumedFleetSize);
     for (const MemberInfo& member : context.inputs.members) {
         const auto domain = indexOf(table.domains, member.domain);
         if (!domain)
--- a/src/control/cold_servers.cpp
+++ b/src/control/cold_servers.cpp
@@ -8,49 +8,64 @@
 
 namespace {
 
-    bool isInRegion(const Context& context, const std::string& domain, core::RegionIndex region)
+    bool hasSettledView(const ControlInputs& inputs, core::TimePoint now)
     {
-        const std::vector<core::DomainDeclaration>& domains = context.declarations().domains;
-        const auto found = std::ranges::find(domains, domain, &core::DomainDeclaration::name);
-        return found != domains.end() && found->region == context.declarations().regions[region.value].name;
+        const bool isAlone = inputs.registeredMembers == 1 && inputs.members.size() == 1;
+        return inputs.fleetKnownSince && (isAlone || now - *inputs.fleetKnownSince >= AssignColdServers::settleTime);
     }
 
-    // Whether `self` has the highest score for the server among the members.
-    bool isAssignedTo(std::uint64_t self, std::uint64_t serverKey, const std::vector<std::uint64_t>& members)
+    // Whether no candidate has a higher score for the server than `self`.
+    bool isAssignedTo(std::uint64_t self, std::uint64_t serverKey, const std::vector<std::uint64_t>& candidates)
     {
-        const auto score = [&](std::uint64_t member) { return core::hashCombine(serverKey, member); };
-        return std::ranges::none_of(members, [&](std::uint64_t member) { return score(member) > score(self); });
+        const std::uint64_t ownScore = core::hashCombine(serverKey, self);
+        return std::ranges::none_of(candidates, [&](std::uint64_t candidate) { return core::hashCombine(serverKey, candidate) > ownScore; });
     }
 
 }
 
-std::vector<std::uint64_t> AssignColdServers::eligibleMembers(const Context& context, core::TimePoint now)
+void AssignColdServers::trackDeadMembers(const ControlInputs& inputs, core::TimePoint now)
 {
-    std::vector<std::uint64_t> eligible;
-    for (const MemberInfo& member : context.inputs.members) {
+    std::map<std::string, core::TimePoint> stillDead;
+    for (const MemberInfo& member : inputs.members) {
         if (member.state != core::MemberState::Dead)
-            this->deadSince.erase(member.name);
-        const bool isForgotten = member.state == core::MemberState::Dead && now - this->deadSince.try_emplace(member.name, now).first->second > deadRetention;
-        const bool hasAnnouncedEnd = member.state == core::MemberState::Leaving || member.state == core::MemberState::Left;
-        if (!isForgotten && !hasAnnouncedEnd && isInRegion(context, member.domain, context.selfRegion))
-            eligible.push_back(core::hashBytes(member.name));
+            continue;
+        const auto known = this->deadSince.find(member.name);
+        stillDead.emplace(member.name, known == this->deadSince.end() ? now : known->second);
+    }
+    this->deadSince = std::move(stillDead);
+}
+
+bool AssignColdServers::canHaveServers(const Context& context, const MemberInfo& member, core::TimePoint now) const
+{
+    if (member.state == core::MemberState::Leaving || member.state == core::MemberState::Left)
+        return false;
+    const auto dead = this->deadSince.find(member.name);
+    const bool isLost = dead != this->deadSince.end() && now - dead->second > deadAssignmentTime;
+    return !isLost && context.isInSelfRegion(member.domain);
+}
+
+// The hashes of the names of the members to which servers can be assigned.
+std::vector<std::uint64_t> AssignColdServers::candidateKeys(const Context& context, core::TimePoint now) const
+{
+    std::vector<std::uint64_t> keys;
+    for (const MemberInfo& member : context.inputs.members) {
+        if (this->canHaveServers(context, member, now))
+            keys.push_back(core::hashBytes(member.name));
     }
-    return eligible;
+    return keys;
 }
 
 Step AssignColdServers::operator()(Context context, core::TimePoint now)
 {
-    const std::vector<std::uint64_t> members = this->eligibleMembers(context, now);
-    const ControlInputs& inputs = context.inputs;
-    const bool isAlone = inputs.registeredMembers == 1 && inputs.members.size() == 1;
-    const bool isSettled = inputs.fleetKnownSince && (isAlone || now - *inputs.fleetKnownSince >= settleTime);
-    if (inputs.leaving || !isSettled)
+    this->trackDeadMembers(context.inputs, now);
+    if (context.inputs.leaving || !hasSettledView(context.inputs, now))
         return Step::pass(std::move(context));
-    const std::uint64_t self = core::hashBytes(inputs.self);
+    const std::vector<std::uint64_t> candidates = this->candidateKeys(context, now);
+    const std::uint64_t self = core::hashBytes(context.inputs.self);
     for (BackendServer& server : context.servers) {
         const bool isCold = server.listing.coldUntil && now < *server.listing.coldUntil;
         if (isCold && server.region == context.selfRegion)
-            server.isUsableCold = isAssignedTo(self, core::hashBytes(server.listing.name), members);
+            server.isUsableCold = isAssignedTo(self, core::hashBytes(server.listing.name), candidates);
     }
     return Step::pass(std::move(context));
 }
--- a/src/control/home_subset.cpp
+++ b/src/control/home_subset.cpp
@@ -78,11 +78,9 @@
     std::optional<std::size_t> self;
     for (const MemberInfo& member : context.inputs.members) {
         const bool isServing = member.state == core::MemberState::Alive || member.state == core::MemberState::Suspect;
-        const auto domain = std::ranges::find(context.declarations().domains, member.domain, &core::DomainDeclaration::name);
-        const bool isLocal = domain != context.declarations().domains.end() && domain->region == context.declarations().regions[context.selfRegion.value].name;
         if (member.name == context.inputs.self)
             self = memberKeys.size();
-        else if (!isServing || !isLocal)
+        else if (!isServing || !context.isInSelfRegion(member.domain))
             continue;
         memberKeys.push_back(core::hashBytes(member.name));
     }
--- a/src/control/pipeline_types.h
+++ b/src/control/pipeline_types.h
@@ -5,6 +5,7 @@
 #include "core/pipe.h"
 #include "core/steering_table.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -69,9 +70,11 @@
     std::set<std::string> evacuated {}; // failure domains whose servers get no requests until the evacuation ends
     std::string self {}; // name of this VM
     std::string selfDomain {};
-    // When this VM first knew another live member, or that it is the only one; none: it can't tell yet how many there are.
+    // Since when this VM has known another live member, or that it is the only one. Empty: it can't tell yet how many
+    // entry VMs there are.
     std::optional<core::TimePoint> fleetKnownSince {};
-    std::uint32_t registeredMembers = 0; // entry VMs registered in the store when this VM joined, also those that ended since; 0: unknown
+    // Entry VMs that were registered in the store when this VM joined. Counts also those that have ended. 0: unknown.
+    std::uint32_t registeredMembers = 0;
     bool leaving = false; // this VM is shutting down
     core::WallTime wallTime {}; // compared with contract dates
 };
@@ -139,6 +142,14 @@
     std::vector<std::string> leavingServers {}; // reported as leaving to this VM itself, not by other entry VMs
 
     const core::Declarations& declarations() const { return *this->inputs.declarations; }
+
+    // Whether the failure domain is declared and lies in this VM's region.
+    bool isInSelfRegion(const std::string& domain) const
+    {
+        const std::vector<core::DomainDeclaration>& domains = this->declarations().domains;
+        const auto found = std::ranges::find(domains, domain, &core::DomainDeclaration::name);
+        return found != domains.end() && found->region == this->declarations().regions[this->selfRegion.value].name;
+    }
 };
 
 // The result of one run of a control pipe.
--- a/src/core/steering_table.h
+++ b/src/core/steering_table.h
@@ -73,8 +73,8 @@
     // Share of the server's usual traffic, 0 to 1: rises while it warms up and falls while its batch is drained. A
     // chooser accepts the server with this probability and uses at most ceil(warmth * slots) slots. 0: no new requests.
     double warmth = 1;
-    bool isHome = false; // whether it is in this entry VM's home subset, the servers that this VM prefers
-    bool isUsableCold = false; // whether this entry VM may use it while it is cold; at most one VM may
+    bool isHome = false; // whether it is in this entry VM's home subset, if the control pipe computes one: the servers that this VM prefers
+    bool isUsableCold = false; // whether this entry VM may use it while it is cold; false for all others
     std::optional<LoadReport> report;
     std::uint64_t key = 0; // hash of the name, seeded with the time of the server's start; the same in every table
     std::shared_ptr<SlotCounter> slotCounter; // of this process's requests; the same counter in every table
@@ -111,8 +111,8 @@
     std::vector<ClassEntry> classes;
     std::vector<ServerEntry> servers;
     std::vector<MemberEntry> members;
-    // Upper bound of the number of entry VMs, for limits that they share: counts also those that are suspected or dead,
-    // which can be alive on the other side of a cut.
+    // Upper bound of the number of entry VMs, for limits that they share. Counts also suspected and dead ones, because
+    // they can be alive on the other side of a network partition.
     std::uint32_t fleetSize = 0;
     MemberIndex self;
     bool leaving = false; // this entry VM is shutting down
--- a/src/request/retry_allowance.h
+++ b/src/request/retry_allowance.h
@@ -14,8 +14,7 @@
         double share = 0; // upper bound of the extra attempts per request in a window; 0: the allowance is not used
         double slack = 0; // upper bound of the additional extra attempts per window, of all entry VMs together
         core::Duration window = std::chrono::seconds(10);
-        // Fraction of the bound that is used. The margin is needed because entry VMs temporarily disagree about the
-        // number of members when one joins or leaves.
+        // Fraction of the bound that is used. The rest of the slack is for processes in their first window.
         double usedFraction = 0.7;
         std::uint32_t threads = 1; // traffic threads of this process, each of which has an allowance of its own
     };
@@ -23,13 +22,13 @@
     // Counts a request for the service.
     void countRequest(const Options&, core::TimePoint now);
 
-    // Takes one extra attempt. Returns false if the window has none left. `slackSharers` is the number of entry VMs that
-    // share the slack, an upper bound; if it is 0, this one has no part of it. In the first window after `startedAt`, the
-    // process has only the part that usedFraction leaves, because a process that ran here before can have used the rest.
+    // Takes one extra attempt. Returns false if the window has none left. `slackSharers` is an upper bound of the number
+    // of entry VMs that share the slack; if it is 0, this one has no part of it. In the first window after `startedAt`,
+    // the part is smaller by what an earlier process of this entry VM can have taken.
     bool trySpend(const Options&, std::size_t slackSharers, core::TimePoint now, core::TimePoint startedAt = {});
 
-    // Counts an extra attempt at the time at which it is sent instead of the time at which it was taken. In between it
-    // can wait for seconds, and servers count what arrives.
+    // Moves an extra attempt from the time at which it was taken to that at which it is sent. In between it can wait for
+    // seconds, and the bound is on what arrives at the servers.
     void recordSent(const Options&, core::TimePoint takenAt, core::TimePoint now);
 
 private:
--- a/src/request/state.h
+++ b/src/request/state.h
@@ -31,8 +31,8 @@
     // leaving. Callers can use a look-up answer for up to 6 s, and a table reaches a traffic thread within a fraction
     // of a second.
     core::Duration shutdownGrace = std::chrono::seconds(8);
-    // The time from that mark until what is still in flight is broken off. A new request whose deadline is later is not
-    // taken: it may not be repeated by its caller once it has begun to run.
+    // The time from that mark until what is still in flight is broken off. A new request with a later deadline is
+    // rejected, because its caller may be unable to repeat it once a server has begun to run it.
     core::Duration shutdownEnd = core::Duration::max();
     std::size_t maxIsolations = 2; // servers that one thread reserves for suspects at the same time
     // How long the error answer to a request that was in flight in a crash is delayed, at most until its deadline.
@@ -161,7 +161,7 @@
     // false if none is left.
     bool trySpendRetry(ClassState&, core::TimePoint now);
 
-    // Counts the request's attempt, if it was taken from the retry allowance, at the present time.
+    // If the request's attempt was taken from the retry allowance, counts it there at `now` instead of when it was taken.
     void recordRetrySent(ActiveRequest&, core::TimePoint now);
 
     // Releases the slot of an attempt that has ended or whose whole answer has arrived. Does nothing the second time.
--- a/src/wire/exchange.h
+++ b/src/wire/exchange.h
@@ -62,9 +62,9 @@
     DecisionChannel decision;
     Timer timer;
     std::vector<std::shared_ptr<BackendAttempt>> attempts;
-    // Numbers of the backend connections on which an attempt was refused. A server can repeat an answer late, and the
-    // copy has the same id as the answer to another attempt of this request, so no other attempt may use them.
-    std::vector<std::uint64_t> refusedOn;
+    // Numbers of the backend connections on which a server refused an attempt or was not the expected one. It can repeat
+    // that answer late, and the copy would match any other attempt of this request, so none may use these connections.
+    std::vector<std::uint64_t> refusedConnections;
     std::function<void(const request::SendAttempt&)> startAttempt;
     std::string callerRequestId; // request id that the caller stated, for logs; empty: none
     std::uint64_t objectHash = 0; // hash of the object that the request needs, for logs; 0: unknown
--- a/src/wire/header.cpp
+++ b/src/wire/header.cpp
@@ -17,6 +17,7 @@
         http::field::proxy_authorization, http::field::te, http::field::trailer, http::field::upgrade, http::field::expect
     };
 
+    // Kept in any message, whatever its Connection field lists.
     constexpr std::array alwaysEndToEndFields = { http::field::content_length, http::field::transfer_encoding, http::field::host };
 
     bool isEndToEnd(beast::string_view name, std::span<const std::string_view> endToEnd)
--- a/src/wire/upstream_impl.h
+++ b/src/wire/upstream_impl.h
@@ -37,7 +37,7 @@
 // that a cancellation can close it. Returns false if connecting failed or the attempt was cancelled meanwhile.
 inline Task<bool> openConnection(Worker& worker, const Exchange& exchange, BackendAttempt& attempt)
 {
-    if (std::unique_ptr<BackendConnection> idle = worker.connections().take(attempt.address, exchange.refusedOn, steadyNow())) {
+    if (std::unique_ptr<BackendConnection> idle = worker.connections().take(attempt.address, exchange.refusedConnections, steadyNow())) {
         attempt.connection = std::move(idle);
         co_return true;
     }
@@ -180,7 +180,7 @@
         head.retryAfter = retryAfterField(header);
     if (match == AnswerMatch::Refused || match == AnswerMatch::Misdirected) {
         head.result = match == AnswerMatch::Refused ? AttemptResult::Refused : AttemptResult::Misdirected;
-        exchange.refusedOn.push_back(attempt.connection->number);
+        exchange.refusedConnections.push_back(attempt.connection->number);
         attempt.connection->stream.expires_after(refusalBodyTimeout);
         if (!co_await readBody(attempt, attempt.bodyPrefix, readChunkBytes) && attempt.parser->is_done())
             returnToPool(worker, attempt);
--- a/tests/io/fleet_limits.cpp
+++ b/tests/io/fleet_limits.cpp
@@ -47,9 +47,11 @@
     }
 
     void start() { this->process = std::make_unique<Process>(std::vector<std::string> { "serve", "--settings", this->settings.path() }); }
+
+    // Kills the process and starts another one.
     void restart()
     {
-        this->process.reset(); // kills it
+        this->process.reset();
         this->start();
     }
 
@@ -132,6 +134,7 @@
     // The largest number of extra attempts in a window beyond what is allowed there; negative if all are allowed.
     double worstRetryExcess() const
     {
+        const std::scoped_lock lock(this->mutex);
         double worst = -retrySlack;
         for (const Clock::time_point end : this->extraAttempts) {
             const double sent = count(this->requests, end - retryWindow, end);
@@ -146,6 +149,7 @@
     // The largest number of requests in one second at a server between two times.
     double worstSecond(unsigned server, Clock::time_point begin, Clock::time_point end) const
     {
+        const std::scoped_lock lock(this->mutex);
         double worst = 0;
         for (const Clock::time_point at : this->arrivals.at(server)) {
             if (at - 1s >= begin && at <= end)
@@ -160,7 +164,7 @@
         return static_cast<double>(std::ranges::upper_bound(times, until) - std::ranges::upper_bound(times, after));
     }
 
-    std::mutex mutex;
+    mutable std::mutex mutex;
     std::vector<Clock::time_point> requests;
     std::vector<Clock::time_point> extraAttempts;
     std::map<unsigned, std::vector<Clock::time_point>> arrivals { { 0, {} }, { 1, {} } };
@@ -209,7 +213,7 @@
         return this->findBroken();
     }
 
-    double served() const { return this->answered; }
+    int served() const { return this->answered; }
 
 private:
     static std::string requestText(const std::string& object, const std::string& id)
@@ -256,12 +260,18 @@
             this->signal(step.vms, SIGCONT);
             break;
         case Disruption::Cold:
-            this->fixture.writeServerEntry(this->fixture.servers[0]->name, this->fixture.servers[0]->address(), "ready", coldTime);
-            this->coldSince.push_back(Clock::now());
+            this->makeCold();
             break;
         }
     }
 
+    void makeCold()
+    {
+        const std::scoped_lock lock(this->coldServers);
+        this->fixture.writeServerEntry(this->fixture.servers[0]->name, this->fixture.servers[0]->address(), "ready", coldTime);
+        this->coldSince.push_back(Clock::now());
+    }
+
     void refuse(bool refuses)
     {
         this->refusals += refuses ? 1 : -1;
@@ -293,9 +303,10 @@
     Record record;
     PlatformFixture fixture;
     std::vector<std::unique_ptr<VmProcess>> vms;
-    std::mutex processes;
+    std::mutex processes; // protects the restart of the VMs' processes
     std::atomic<int> refusals = 0;
-    std::vector<Clock::time_point> coldSince;
+    std::mutex coldServers;
+    std::vector<Clock::time_point> coldSince; // when the first server became cold
     std::atomic<bool> isStopping = false;
     std::atomic<int> answered = 0;
     Clock::time_point begin {};
--- a/tests/pure/cold_servers.cpp
+++ b/tests/pure/cold_servers.cpp
@@ -167,6 +167,6 @@
         for (control::ControlInputs& view : region.views)
             view.members[user].state = core::MemberState::Dead;
         CHECK(region.userCount(start) == 0);
-        CHECK(region.userCount(start + control::AssignColdServers::deadRetention + 1s) == 1);
+        CHECK(region.userCount(start + control::AssignColdServers::deadAssignmentTime + 1s) == 1);
     }
 }
--- a/tests/pure/earliest_answer.cpp
+++ b/tests/pure/earliest_answer.cpp
@@ -252,6 +252,31 @@
     }
 }
 
+// Guards against traffic threads that each use the whole rate of a cold server.
+TEST_CASE("the traffic threads of a process share the rate of a cold server", "[earliest-answer]")
+{
+    constexpr std::uint32_t threads = 3;
+    Driver driver;
+    core::ServerEntry& server = driver.table->servers[0];
+    driver.table->classes[0].servers = { { 0 } };
+    server.coldUntil = driver.now + 3s;
+    server.maxColdRequestsPerSecond = 6;
+    server.isUsableCold = true;
+    std::vector<request::EarliestAnswer> choosers(threads, request::EarliestAnswer({ .threads = threads }));
+    unsigned sent = 0;
+    for (int i = 0; i < 100; ++i) {
+        driver.now += 10ms;
+        for (request::EarliestAnswer& chooser : choosers) {
+            if (!chooser.choose(inputFor(*driver.table, 1, driver.now), driver.random, driver.now))
+                continue;
+            ++sent;
+            server.slotCounter->release();
+        }
+    }
+    CHECK(sent >= 6);
+    CHECK(sent <= 6 + threads); // each thread starts with one request
+}
+
 // Replays a small region under high load: its servers are full, and late requests wait there and are evaluated again
 // with every event. Guards against counting each evaluation as a preference for the local region, which kept new
 // requests from regions with free capacity.
--- a/tests/pure/retry_allowance.cpp
+++ b/tests/pure/retry_allowance.cpp
@@ -53,6 +53,17 @@
     CHECK(spendAll(start + 950ms + options.window + 1s) == 7);
 }
 
+// Guards against traffic threads that each take the whole part of their entry VM.
+TEST_CASE("the traffic threads of a process share its part of the slack", "[retry-allowance]")
+{
+    const request::RetryAllowance::Options options { .share = 0.2, .slack = 64, .usedFraction = 1, .threads = 4 };
+    request::RetryAllowance allowance;
+    int extra = 0;
+    while (allowance.trySpend(options, 8, start))
+        ++extra;
+    CHECK(extra == 2);
+}
+
 // Guards against retries that wait for a slot: taken from one window but sent in the next one, they add to its own.
 TEST_CASE("an extra attempt counts when it is sent", "[retry-allowance]")
 {
