Log by which configuration, from where and how old a request was decided

`sent`, `answered` and `refused` now carry the version, the age of the store's last confirmation of it, the steering table and its age. The age is also a metric and part of the dump. Nothing decides by it yet.

VmProcess and the seeds' parser move from the soak of the limits to headers of their own.

--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -18,11 +18,19 @@
     control::ControlOutput published;
 };
 
+// The watch of one kind of objects in the platform's store.
+struct WatchState {
+    std::string kind;
+    bool isUp = false; // the last call was answered
+    std::optional<core::Duration> confirmedAgo; // since the store last answered with its newest state; empty: never
+};
+
 // Relation of this entry VM to the platform's store.
 struct StoreState {
     bool isUp = false; // the store answers; only meaningful if isWatching
     bool isWatching = false; // this entry VM watches the store
     bool holdsStatusLease = false;
+    std::vector<WatchState> watches {}; // empty if the feed doesn't track them
 };
 
 // Read access to the control thread's state for the admin pages. Valid during one call on that thread.
--- a/src/app/dump.cpp
+++ b/src/app/dump.cpp
@@ -112,6 +112,26 @@
         return { { "classes", std::move(classes) }, { "lookups", traffic.lookups }, { "connections", traffic.connections } };
     }
 
+    json::array dumpWatches(const std::vector<WatchState>& watches)
+    {
+        json::array rows;
+        for (const WatchState& watch : watches) {
+            json::object row { { "kind", watch.kind }, { "up", watch.isUp } };
+            if (watch.confirmedAgo)
+                row["confirmedAgoMs"] = milliseconds(*watch.confirmedAgo);
+            rows.push_back(std::move(row));
+        }
+        return rows;
+    }
+
+    json::object dumpOrigin(const core::ConfigurationOrigin& origin, core::TimePoint now)
+    {
+        json::object row { { "source", core::nameOf(origin.source) }, { "peer", origin.peer } };
+        if (origin.confirmedAt)
+            row["confirmedAgoMs"] = milliseconds(now - *origin.confirmedAt);
+        return row;
+    }
+
     json::object dumpPeer(const wire::PeerCounters& counters)
     {
         return {
@@ -135,6 +155,9 @@
     result["watchesStore"] = control.store.isWatching;
     result["holdsStatusLease"] = control.store.holdsStatusLease;
     result["configurationRevision"] = table ? table->configurationRevision : 0;
+    result["watches"] = dumpWatches(control.store.watches);
+    if (table && table->configurationOrigin)
+        result["configurationOrigin"] = dumpOrigin(*table->configurationOrigin, now);
     result["peer"] = dumpPeer(control.peer.counters());
     result["traffic"] = dumpTraffic(traffic);
     if (!table)
--- a/src/app/metrics.cpp
+++ b/src/app/metrics.cpp
@@ -64,6 +64,15 @@
         out << "cranberryshed_peer_malformed_total " << counters.malformed << '\n';
     }
 
+    void writeWatches(std::ostream& out, const std::vector<app::WatchState>& watches)
+    {
+        writeMetricHeader(out, "store_knowledge_age_seconds", "gauge", "Time since the store last confirmed what is known of a kind of objects, by kind.");
+        for (const app::WatchState& watch : watches) {
+            if (watch.confirmedAgo)
+                out << "cranberryshed_store_knowledge_age_seconds{kind=\"" << watch.kind << "\"} " << std::chrono::duration<double>(*watch.confirmedAgo).count() << '\n';
+        }
+    }
+
     void writeTable(std::ostream& out, const core::SteeringTable& table)
     {
         std::array<std::uint64_t, core::enumeratorCount<core::ServerState>()> servers {};
@@ -98,6 +107,7 @@
     writePeer(out, control.peer.counters());
     writeMetricHeader(out, "store_up", "gauge", "1 while the platform's store answers; only meaningful on a watcher.");
     out << "cranberryshed_store_up " << (control.store.isUp ? 1 : 0) << '\n';
+    writeWatches(out, control.store.watches);
     if (control.state.published.table)
         writeTable(out, *control.state.published.table);
     return out.str();
--- a/src/control/build_table.cpp
+++ b/src/control/build_table.cpp
@@ -51,7 +51,9 @@
 {
     auto table = std::make_shared<core::SteeringTable>();
     table->generation = ++this->generation;
+    table->builtAt = now;
     table->configurationRevision = context.declarations().revision;
+    table->configurationOrigin = context.inputs.configurationOrigin;
     table->leaving = context.inputs.leaving;
     table->callerLimits = context.declarations().callerLimits;
     this->addRegionsAndDomains(*table, context);
--- a/src/control/pipeline_types.h
+++ b/src/control/pipeline_types.h
@@ -57,6 +57,7 @@
 // last run. All other fields hold the last known state, which can be arbitrarily old.
 struct ControlInputs {
     std::shared_ptr<const core::Declarations> declarations {};
+    std::optional<core::ConfigurationOrigin> configurationOrigin {}; // of `declarations`, for logs
     std::shared_ptr<const core::AddressBlockTable> blocks {}; // null: the pipe builds it from the declarations
     core::ServerList serverList {};
     std::vector<HealthReport> healthReports {};
--- a/src/core/enums.h
+++ b/src/core/enums.h
@@ -46,6 +46,17 @@
     static constexpr std::array<std::string_view, 5> values = { "alive", "suspect", "leaving", "left", "dead" };
 };
 
+// From where this entry VM learned of the configuration in force.
+enum class ConfigurationSource : std::uint8_t {
+    StoreList, // a list of the store's objects
+    StoreWatch, // a watch of the store
+    Peer, // another entry VM
+};
+template <>
+struct Names<ConfigurationSource> {
+    static constexpr std::array<std::string_view, 3> values = { "store-list", "store-watch", "peer" };
+};
+
 // Whether a backend server ran a request that ended with an error of this system. A backend server that refuses a
 // request states NotRun in its answer.
 enum class RunState : std::uint8_t { NotRun,
--- a/src/core/steering_table.h
+++ b/src/core/steering_table.h
@@ -101,11 +101,20 @@
 // The entry VMs that callers of each site should use, see lookup/rank.h.
 class SiteRanks;
 
+// How this entry VM learned of the configuration in force, and how current that knowledge is.
+struct ConfigurationOrigin {
+    ConfigurationSource source = ConfigurationSource::StoreList;
+    std::string peer; // name of the entry VM that sent it; empty unless the source is Peer
+    std::optional<TimePoint> confirmedAt; // when the store last confirmed that there is no newer one; empty: not yet
+};
+
 // Everything that decisions about traffic need. The control thread builds a new table and publishes it as a whole;
 // a published table never changes.
 struct SteeringTable {
     std::uint64_t generation = 0; // number of this table among those of this process
+    TimePoint builtAt {};
     std::uint64_t configurationRevision = 0; // highest revision of the declarations in force
+    std::optional<ConfigurationOrigin> configurationOrigin; // empty: not tracked by this feed
     std::vector<RegionEntry> regions;
     std::vector<DomainEntry> domains;
     std::vector<ClassEntry> classes;
--- a/src/fleet/objects.cpp
+++ b/src/fleet/objects.cpp
@@ -13,6 +13,11 @@
     return object.content.size() + object.kind.size() + object.name.size() + objectOverheadBytes;
 }
 
+ObjectId objectIdOf(const core::Object& object)
+{
+    return ObjectId { core::hashCombine(core::hashBytes(object.kind), core::hashBytes(object.name)) };
+}
+
 namespace {
 
     // A larger object is announced by its version and then fetched. With its header, an object of this size fits a
@@ -24,11 +29,6 @@
     constexpr std::size_t gossipFanout = 3;
     constexpr int maxSendsPerRumor = 12;
 
-    ObjectId idOf(const core::Object& object)
-    {
-        return ObjectId { core::hashCombine(core::hashBytes(object.kind), core::hashBytes(object.name)) };
-    }
-
     std::uint64_t hashOf(ObjectId id, const core::ObjectVersion& version)
     {
         return core::hashCombine(core::hashCombine(static_cast<std::uint64_t>(id), version.revision), version.version);
@@ -49,7 +49,7 @@
         entry.expiresAt = now + deletionRetention;
         object.content.clear();
     }
-    const ObjectId id = idOf(object);
+    const ObjectId id = objectIdOf(object);
     entry.object = std::make_shared<const core::Object>(std::move(object));
     return this->replaceIfNewer(id, std::move(entry), now, propagation);
 }
@@ -59,7 +59,7 @@
     if (item.remaining <= 0ms)
         return;
     core::Object object { .kind = std::string(core::nameOf(item.kind)), .name = item.key, .version = {}, .deleted = item.withdrawn, .content = item.content };
-    const ObjectId id = idOf(object);
+    const ObjectId id = objectIdOf(object);
     auto known = this->entries.find(id);
     // Several members publish the same observation; only the first has to be sent.
     if (known != this->entries.end() && known->second.object->deleted == object.deleted && known->second.object->content == object.content
@@ -231,6 +231,12 @@
     return result;
 }
 
+std::optional<MemberId> Objects::senderOf(const core::Object& object) const
+{
+    const auto known = this->entries.find(objectIdOf(object));
+    return known == this->entries.end() ? std::nullopt : known->second.sender;
+}
+
 ObjectFact Objects::factOf(ObjectId id, const Entry& entry) const
 {
     return { .id = id, .version = entry.object->version, .bytes = static_cast<std::uint32_t>(entry.object->content.size()) };
--- a/src/fleet/objects.h
+++ b/src/fleet/objects.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -23,6 +24,8 @@
 // The size of an object in a message, in bytes.
 std::size_t wireSize(const core::Object&);
 
+ObjectId objectIdOf(const core::Object&);
+
 // How a new object reaches the other members.
 enum class Propagation : std::uint8_t {
     Gossip, // sent to random members at once
@@ -55,6 +58,8 @@
     std::uint64_t changes() const { return this->changeCount; }
     std::vector<std::shared_ptr<const core::Object>> objects() const; // without items; ordered by kind and name
     std::vector<Item> items(core::TimePoint now) const; // neither withdrawn nor expired
+    // The member that sent the version of the object that is held; nothing if it was published here or is unknown.
+    std::optional<MemberId> senderOf(const core::Object&) const;
 
 private:
     struct Entry {
@@ -62,6 +67,7 @@
         core::TimePoint deletedAt {}; // only for a deletion
         core::TimePoint expiresAt = core::TimePoint::max(); // when an item or a deletion is removed
         bool isItem = false;
+        std::optional<MemberId> sender {}; // empty: published here
     };
 
     // Content that was requested and has not arrived.
@@ -80,7 +86,7 @@
 
     ObjectFact factOf(ObjectId, const Entry&) const;
     ObjectEntry toWire(const Entry&, core::TimePoint now) const;
-    void onPush(const ObjectPush&, core::TimePoint now);
+    void onPush(const ObjectPush&, MemberId sender, core::TimePoint now);
     void onFacts(Context&, const std::vector<ObjectFact>&, bool isNews, core::TimePoint now);
     void onWanted(Context&, const ObjectsWanted&, core::TimePoint now) const;
     void onSync(Context&, const Sync&) const;
--- a/src/fleet/objects_messages.cpp
+++ b/src/fleet/objects_messages.cpp
@@ -26,7 +26,7 @@
 void Objects::handle(Context& context, core::TimePoint now, core::RandomEngine& random)
 {
     if (const auto* push = context.body<ObjectPush>())
-        this->onPush(*push, now);
+        this->onPush(*push, context.received.message.sender, now);
     else if (const auto* announce = context.body<ObjectAnnounce>())
         this->onFacts(context, announce->facts, !announce->catalogue, now);
     else if (const auto* wanted = context.body<ObjectsWanted>())
@@ -46,10 +46,10 @@
     outbox.push_back(outgoingMessage(address, CatalogueWanted {}, Transport::Stream));
 }
 
-void Objects::onPush(const ObjectPush& push, core::TimePoint now)
+void Objects::onPush(const ObjectPush& push, MemberId sender, core::TimePoint now)
 {
     for (const ObjectEntry& received : push.entries) {
-        Entry entry { .object = received.object };
+        Entry entry { .object = received.object, .sender = sender };
         if (received.remainingMs > 0) {
             entry.isItem = true;
             entry.expiresAt = now + received.remainingMs * 1ms;
@@ -58,7 +58,7 @@
             entry.expiresAt = entry.deletedAt + deletionRetention;
         }
         if (entry.expiresAt > now)
-            this->replaceIfNewer(ObjectId { core::hashCombine(core::hashBytes(received.object->kind), core::hashBytes(received.object->name)) }, std::move(entry), now);
+            this->replaceIfNewer(objectIdOf(*received.object), std::move(entry), now);
     }
 }
 
--- a/src/fleet/pipeline.h
+++ b/src/fleet/pipeline.h
@@ -7,6 +7,7 @@
 #include "fleet/objects.h"
 #include "fleet/snapshot.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -111,6 +112,9 @@
     // A member's record, or null if there is none. Valid until the next call of a non-const function.
     const MemberRecord* member(MemberId id) const { return this->membership.find(id); }
 
+    // The member that sent the version of the object that is held; nothing if it was published here or is unknown.
+    std::optional<MemberId> senderOf(const core::Object& object) const { return this->objects.senderOf(object); }
+
 private:
     void refreshAfterPause(core::TimePoint now, Outbox&);
     void sendSync(core::TimePoint now, Outbox&);
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -14,6 +14,9 @@
 std::vector<core::Object> ObjectWatcher::handleList(std::vector<core::Object> objects, std::uint64_t storeVersion, core::TimePoint now)
 {
     this->recordSuccess(now);
+    this->lastAnsweredCall = WatcherCallKind::List;
+    if (this->listConsistency == Consistency::Linearizable)
+        this->lastConfirmation = now;
     std::vector<core::Object> accepted;
     std::map<std::string, core::ObjectVersion> missing = this->knownVersions;
     for (core::Object& object : objects) {
@@ -30,6 +33,8 @@
 std::vector<core::Object> ObjectWatcher::handleChanges(std::vector<core::Object> changes, std::uint64_t storeVersion, core::TimePoint now)
 {
     this->recordSuccess(now);
+    this->lastAnsweredCall = WatcherCallKind::Watch;
+    this->lastConfirmation = now;
     std::vector<core::Object> accepted;
     for (core::Object& object : changes) {
         if (object.deleted)
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -69,6 +69,11 @@
 
     // Whether a list has been read and the last call succeeded.
     bool isSynced() const { return this->failures == 0 && this->reachedVersion.has_value(); }
+    // When the store last answered a call with its newest state; empty: never. Between two answers of watches, a change
+    // that the store has not reported can exist.
+    std::optional<core::TimePoint> confirmedAt() const { return this->lastConfirmation; }
+    // The kind of the last call that was answered.
+    WatcherCallKind lastAnswered() const { return this->lastAnsweredCall; }
     const std::string& kind() const { return this->options.kind; }
 
 private:
@@ -85,6 +90,8 @@
     std::optional<std::uint64_t> reachedVersion; // store version up to which all changes were seen
     std::map<std::string, core::ObjectVersion> knownVersions; // of existing objects, by name
     std::map<std::string, HeldRemoval> heldRemovals; // by object name
+    std::optional<core::TimePoint> lastConfirmation;
+    WatcherCallKind lastAnsweredCall = WatcherCallKind::List;
     unsigned failures = 0; // consecutive
     Consistency listConsistency = Consistency::Stale; // of the next list
     core::TimePoint nextCallTime {};
--- a/src/wire/event_log.cpp
+++ b/src/wire/event_log.cpp
@@ -91,6 +91,13 @@
 
 }
 
+LogFieldValue knowledgeAge(const std::optional<core::ConfigurationOrigin>& origin, core::TimePoint now)
+{
+    constexpr std::int64_t unknown = -1;
+    const bool isKnown = origin && origin->confirmedAt;
+    return { LogField::KnowledgeAgeMs, isKnown ? wholeMilliseconds(now - *origin->confirmedAt) : unknown };
+}
+
 bool tryAdmitEvent(LogEvent event, bool failure, core::TimePoint now)
 {
     const EventRateLimits limits;
@@ -109,7 +116,7 @@
     return true;
 }
 
-void logEvent(LogEvent event, std::initializer_list<LogFieldValue> entries)
+void logEvent(LogEvent event, std::initializer_list<LogFieldValue> entries, std::span<const LogFieldValue> more)
 {
     const std::shared_ptr<spdlog::logger> logger = spdlog::get(eventLogger);
     if (!logger)
@@ -117,6 +124,8 @@
     std::string line = fmt::format("{{\"unixMs\":{},\"event\":\"{}\"", wallNow().time_since_epoch().count(), core::nameOf(event));
     for (const LogFieldValue& entry : entries)
         appendField(line, core::nameOf(entry.field), jsonValue(entry));
+    for (const LogFieldValue& entry : more)
+        appendField(line, core::nameOf(entry.field), jsonValue(entry));
     const std::uint64_t dropped = takeDroppedCount(event) + droppedLines.exchange(0);
     if (dropped > 0)
         appendField(line, core::nameOf(LogField::Dropped), json::value(dropped));
--- a/src/wire/event_log.h
+++ b/src/wire/event_log.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "core/names.h"
+#include "core/steering_table.h"
 #include "core/types.h"
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string_view>
 #include <variant>
 
@@ -53,6 +55,10 @@
     RetryAfterMs,
     Version, // of the configuration in force
     Table, // generation of the steering table
+    TableAgeMs, // since the steering table was built
+    KnowledgeAgeMs, // since the store last confirmed that the configuration in force is the newest; -1: unknown
+    Source, // of a new configuration
+    Revision, // of an object in the store
     Reason,
     Dropped, // lines of this event left out by the rate limit since its previous line, and lines of any event that the
              // output did not accept since the previous line
@@ -67,7 +73,7 @@
 
 template <>
 struct cranberryshed::core::Names<cranberryshed::wire::LogField> {
-    static constexpr std::array<std::string_view, 24> values = { "request", "class", "object", "server", "domain", "member", "state", "result", "status", "error", "attempt", "elapsedMs", "leftMs", "waitedMs", "inFlight", "others", "expectedMs", "warm", "ageMs", "retryAfterMs", "version", "table", "reason", "dropped" };
+    static constexpr std::array<std::string_view, 28> values = { "request", "class", "object", "server", "domain", "member", "state", "result", "status", "error", "attempt", "elapsedMs", "leftMs", "waitedMs", "inFlight", "others", "expectedMs", "warm", "ageMs", "retryAfterMs", "version", "table", "tableAgeMs", "knowledgeAgeMs", "source", "revision", "reason", "dropped" };
 };
 
 namespace cranberryshed::wire {
@@ -83,6 +89,9 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+// The time since the store last confirmed the configuration; -1 if it never did.
+LogFieldValue knowledgeAge(const std::optional<core::ConfigurationOrigin>&, core::TimePoint now);
+
 // Maximum number of lines written per second for one event. Lines that exceed it are left out, and the event's next
 // line states their number in LogField::Dropped.
 struct EventRateLimits {
@@ -92,7 +101,7 @@
 
 // Writes one JSON line. Never blocks: a line that standard output can't accept immediately is dropped and counted.
 // Thread-safe. Does nothing before startEventLog().
-void logEvent(LogEvent, std::initializer_list<LogFieldValue>);
+void logEvent(LogEvent, std::initializer_list<LogFieldValue>, std::span<const LogFieldValue> more = {});
 
 // Returns whether the rate limit admits a line of this event now. Consumes a token of the limit, so call it once per
 // line, before the line's fields are computed. Thread-safe.
--- a/src/wire/exchange.h
+++ b/src/wire/exchange.h
@@ -69,6 +69,7 @@
     std::string callerRequestId; // request id that the caller stated, for logs; empty: none
     std::uint64_t objectHash = 0; // hash of the object that the request needs, for logs; 0: unknown
     std::string className;
+    core::SteeringTablePointer table; // by which the request was last decided, for logs
     core::TimePoint arrivedAt {};
     core::TimePoint relayUntil = core::TimePoint::max(); // by then the caller has given up by its own statement
 };
--- a/src/wire/request_log.cpp
+++ b/src/wire/request_log.cpp
@@ -11,6 +11,15 @@
         return static_cast<std::int64_t>(value);
     }
 
+    // The configuration and the table by which a request was decided, and their ages.
+    std::array<LogFieldValue, 4> basisOf(const core::SteeringTable& table, core::TimePoint now)
+    {
+        return { { { LogField::Version, signedValue(table.configurationRevision) },
+            knowledgeAge(table.configurationOrigin, now),
+            { LogField::Table, signedValue(table.generation) },
+            { LogField::TableAgeMs, wholeMilliseconds(now - table.builtAt) } } };
+    }
+
 }
 
 void logSent(const Exchange& exchange, const request::SendAttempt& command, core::TimePoint now)
@@ -33,9 +42,8 @@
                                  { LogField::ExpectedMs, wholeMilliseconds(command.basis.expected) },
                                  { LogField::Warm, std::int64_t { command.basis.isWarm } },
                                  { LogField::AgeMs, wholeMilliseconds(command.basis.reportAge) },
-                                 { LogField::Version, signedValue(command.table->configurationRevision) },
-                                 { LogField::Table, signedValue(command.table->generation) },
-                             });
+                             },
+        basisOf(*command.table, now));
 }
 
 void logAttemptEnded(const Exchange& exchange, const BackendAttempt& attempt, const request::AttemptEnded& ended, core::TimePoint now)
@@ -65,7 +73,8 @@
                                      { LogField::Result, core::nameOf(result) },
                                      { LogField::Attempt, signedValue(exchange.attempts.size()) },
                                      { LogField::ElapsedMs, wholeMilliseconds(now - exchange.arrivedAt) },
-                                 });
+                                 },
+        basisOf(*exchange.table, now));
 }
 
 void logRefused(const Exchange& exchange, const request::Reject& reject, core::TimePoint now)
@@ -80,7 +89,8 @@
                         { LogField::Attempt, signedValue(exchange.attempts.size()) },
                         { LogField::ElapsedMs, wholeMilliseconds(now - exchange.arrivedAt) },
                         { LogField::RetryAfterMs, reject.retryAfter ? wholeMilliseconds(*reject.retryAfter) : std::int64_t {} },
-                    });
+                    },
+        basisOf(*exchange.table, now));
 }
 
 }
--- a/src/wire/session_impl.h
+++ b/src/wire/session_impl.h
@@ -156,8 +156,9 @@
         exchange->objectHash = arrival.affinity;
         if (arrival.deadline)
             exchange->relayUntil = exchange->arrivedAt + *arrival.deadline + relayGrace;
-        if (const std::optional<core::ClassIndex> found = request::matchClass(*this->worker.table(), arrival.host, arrival.method, arrival.target))
-            exchange->className = this->worker.table()->at(*found).name;
+        exchange->table = this->worker.table();
+        if (const std::optional<core::ClassIndex> found = request::matchClass(*exchange->table, arrival.host, arrival.method, arrival.target))
+            exchange->className = exchange->table->at(*found).name;
         removeHopByHop(exchange->header, DialectType::endToEndFields);
         DialectType::addExchangeFields(exchange->header, exchange->id);
         if constexpr (DialectType::forwardsCallerAddress)
@@ -237,6 +238,7 @@
         attempt->address = command.table->at(command.server).address;
         attempt->deadline = command.deadline;
         attempt->sentAt = steadyNow();
+        exchange->table = command.table;
         logSent(*exchange, command, attempt->sentAt);
         exchange->attempts.push_back(attempt);
         asio::co_spawn(this->worker.executor(), this->runAttempt(this->shared_from_this(), exchange, attempt), asio::detached);
--- a/tests/io/fleet_limits.cpp
+++ b/tests/io/fleet_limits.cpp
@@ -3,12 +3,11 @@
 //
 // CRANBERRYSHED_SEEDS, such as "1-50", replaces the seeds of the test.
 
-#include "platform_fixture.h"
-#include "process.h"
+#include "seeds.h"
+#include "vm_process.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <iostream>
 #include <random>
 #include <set>
@@ -36,46 +35,6 @@
 constexpr auto coldTime = 4000ms;
 constexpr auto coldNoticeTime = 1000ms; // until all VMs have read that a server is cold
 
-// An entry VM with the platform's setup, as a process. It keeps its addresses when it is restarted.
-class VmProcess {
-public:
-    VmProcess(PlatformFixture& fixture, const std::string& vmName, std::string peer, const std::vector<std::string>& peers)
-        : callers(fixture.freeAddress())
-        , settings(settingsText(fixture, vmName, callers, peer, peers))
-    {
-        this->start();
-    }
-
-    void start() { this->process = std::make_unique<Process>(std::vector<std::string> { "serve", "--settings", this->settings.path() }); }
-
-    // Kills the process and starts another one.
-    void restart()
-    {
-        this->process.reset();
-        this->start();
-    }
-
-    void signal(int number) const { this->process->signal(number); }
-
-    const std::string callers;
-
-private:
-    static std::string settingsText(PlatformFixture& fixture, const std::string& name, const std::string& callers, const std::string& peer, const std::vector<std::string>& peers)
-    {
-        std::string list;
-        for (const std::string& address : peers)
-            list += (list.empty() ? "\"" : ", \"") + address + '"';
-        const auto field = [](const std::string& key, const std::string& value) { return '"' + key + "\": \"" + value + "\", "; };
-        return "{ " + field("name", name) + field("failureDomain", "north-1") + field("callerAddress", callers) + field("lookupAddress", fixture.freeAddress())
-            + field("readinessAddress", fixture.freeAddress()) + field("adminAddress", "127.0.0.1:0") + field("peerAddress", peer) + field("storeAddress", fixture.store.endpoint())
-            + "\"peers\": [" + list + R"(], "domains": [{ "name": "north-1", "region": "north" }], "log": { "level": "error" }, )"
-            + R"("retries": { "share": )" + std::to_string(retryShare) + R"(, "slack": )" + std::to_string(retrySlack) + R"( }, "changes": { "leavingWithin": "2s", "configurationWithin": "2s" } })";
-    }
-
-    TemporaryFile settings;
-    std::unique_ptr<Process> process;
-};
-
 enum class Disruption : std::uint8_t { Refuse, // all servers refuse requests
     RestartAll, // all VMs are killed and started again; the servers refuse meanwhile
     RestartSome, // the same for some
@@ -183,7 +142,7 @@
         for (std::size_t i = 0; i < vmCount; ++i)
             peers.push_back(this->fixture.freeAddress());
         for (std::size_t i = 0; i < vmCount; ++i)
-            this->vms.push_back(std::make_unique<VmProcess>(this->fixture, "front-" + std::to_string(i + 1), peers[i], peers));
+            this->vms.push_back(std::make_unique<VmProcess>(this->fixture, VmProcessOptions { .name = "front-" + std::to_string(i + 1), .peerAddress = peers[i], .peers = peers, .logLevel = "error", .retryShare = retryShare, .retrySlack = retrySlack }));
         std::this_thread::sleep_for(8s); // the VMs have found one another
     }
 
@@ -313,20 +272,6 @@
     std::vector<std::thread> callers;
 };
 
-// The seeds of CRANBERRYSHED_SEEDS, such as "1-50", or else the given ones.
-std::vector<unsigned> seedsOr(std::vector<unsigned> usual)
-{
-    const char* text = std::getenv("CRANBERRYSHED_SEEDS");
-    if (!text)
-        return usual;
-    const std::string range(text);
-    const std::size_t dash = range.find('-');
-    std::vector<unsigned> seeds;
-    for (unsigned long seed = std::stoul(range); seed <= std::stoul(range.substr(dash == std::string::npos ? 0 : dash + 1)); ++seed)
-        seeds.push_back(static_cast<unsigned>(seed));
-    return seeds;
-}
-
 }
 
 // Guards against limits that hold for each entry VM but not for their sum, because VMs that were just started, restarted
