--- a/tests/io/decision_log.cpp
+++ b/tests/io/decision_log.cpp
@@ -36,15 +36,7 @@
 {
     PlatformFixture fixture;
     VmProcess vm(fixture, { .name = "front-1", .peerAddress = fixture.freeAddress(), .peers = {} });
-    const PlatformFixture::Addresses addresses { .callers = vm.callers, .lookups = {}, .readiness = vm.readiness };
-    const auto isReady = [&] {
-        try {
-            return PlatformFixture::isReady(addresses);
-        } catch (const boost::system::system_error&) {
-            return false; // the process doesn't listen yet
-        }
-    };
-    REQUIRE(timeUntil(isReady, 5s) < 5s);
+    REQUIRE(timeUntil([&] { return vm.isReady(); }, 5s) < 5s);
     fixture.writeConfiguration(2, "/second/");
     CHECK(timeUntil([&] { return RawClient(vm.callers).ask(post("/second/1", "bell", PlatformFixture::requestFields("served"))).status() == 200; }, 2s) < 2s);
     CHECK(RawClient(vm.callers).ask(get("/nowhere/", PlatformFixture::requestFields("unknown"))).status() == 404);
--- a/tests/io/peer.cpp
+++ b/tests/io/peer.cpp
@@ -211,3 +211,38 @@
     other->start({});
     CHECK(runUntil(context, [&] { return aliveMemberCount(*peer) == 2 && aliveMemberCount(*other) == 2; }));
 }
+
+// Guards against an object that a member sends again and again over a stream that is open but delivers nothing: the
+// receiver has silently lost the stream.
+TEST_CASE("a peer sends an object over a new stream if the open one delivers nothing", "[peer]")
+{
+    boost::asio::io_context context;
+    const auto peer = makePeer(context, 0, {});
+    peer->start({});
+    const core::Object large { .kind = "config", .name = "main", .version = { .revision = 1, .version = 0 }, .content = std::string(4000, 'x') };
+    peer->publish(large);
+    boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::address_v4::loopback(), 0 });
+    boost::asio::ip::udp::socket datagrams(context, { boost::asio::ip::address_v4::loopback(), acceptor.local_endpoint().port() });
+    const auto port = static_cast<std::uint16_t>(std::stoi(peer->address().substr(peer->address().rfind(':') + 1)));
+    std::vector<std::unique_ptr<boost::asio::ip::tcp::socket>> streams; // accepted and never read
+    std::function<void()> acceptNext = [&] {
+        streams.push_back(std::make_unique<boost::asio::ip::tcp::socket>(context));
+        acceptor.async_accept(*streams.back(), [&](const boost::system::error_code& error) {
+            if (!error)
+                acceptNext();
+        });
+    };
+    acceptNext();
+    const std::size_t acceptedStreams = 2;
+    const auto ask = [&] {
+        const fleet::Message message { .fleet = core::hashBytes("test"), .sender = fleet::MemberId { 9 }, .body = fleet::ObjectsWanted { { fleet::objectIdOf(large) } } };
+        datagrams.send_to(boost::asio::buffer(wire::encodePeerMessage(message)), { boost::asio::ip::address_v4::loopback(), port });
+    };
+    ask();
+    REQUIRE(runUntil(context, [&] { return streams.size() > 1; }));
+    for (int i = 0; i < 10; ++i) { // as often as a member asks again that has not got the object
+        ask();
+        context.run_for(250ms);
+    }
+    CHECK(streams.size() > acceptedStreams);
+}
--- a/tests/io/vm_process.h
+++ b/tests/io/vm_process.h
@@ -37,6 +37,16 @@
         this->start();
     }
 
+    // Whether the process listens and has a configuration.
+    bool isReady() const
+    {
+        try {
+            return PlatformFixture::isReady({ .callers = this->callers, .lookups = {}, .readiness = this->readiness });
+        } catch (const boost::system::system_error&) {
+            return false;
+        }
+    }
+
     void signal(int number) const { this->process->signal(number); }
 
     // The output of the present process until it contains `text`, for at most about `seconds`.
--- a/tests/pure/objects.cpp
+++ b/tests/pure/objects.cpp
@@ -139,6 +139,25 @@
     CHECK(find(simulation, 0, "gone")->deleted);
 }
 
+// Guards against a member that learns nothing from its peers for seconds after a short partition: it and the others hold
+// each other for dead and rarely try again.
+TEST_CASE("a change reaches a member that was cut off alone until 4 s before", "[fleet]")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        FleetSimulation simulation({ .seed = seed });
+        simulation.startFleet(8);
+        simulation.run(10s + seed * 700ms);
+        simulation.partition({ { 7, 1 } });
+        simulation.run(20s);
+        REQUIRE(simulation.stateOf(0, 7) == core::MemberState::Dead);
+        simulation.heal();
+        simulation.run(4s);
+        publish(simulation, 0, object("late", 5, std::string(4000, 'c')));
+        INFO("seed " << seed);
+        CHECK(simulation.runUntil([&] { return find(simulation, 7, "late") != nullptr; }, 2500ms));
+    }
+}
+
 // Guards against the two sides of a partition that keep different objects after it has ended.
 TEST_CASE("changes made on both sides of a partition merge", "[fleet]")
 {
