Send to a peer over a new stream each second, in case the open one is dead

Callers of a VM that has just been told of a new configuration could get an older one: content of more than a datagram is fetched from a peer over a stream, and a stream that has gone silent was used for as long as another message was due within 10 s, so repeated requests and answers all went into it.

Cause: a sender can't see that a stream delivers nothing; only the receiver misses it, and repeats its request each second. Now a stream carries messages for 1 s and the next message opens another one, so what is repeated arrives.

--- a/src/wire/peer_streams.cpp
+++ b/src/wire/peer_streams.cpp
@@ -24,8 +24,10 @@
     constexpr auto connectTimeout = 3s;
     constexpr auto acceptRetryDelay = 100ms; // after an error of accept()
     constexpr auto transferTimeout = 20s; // for one frame; the largest then needs 55 KB/s
-    constexpr auto senderIdleTimeout = 10s; // the sender closes a stream after this time without a message
-    constexpr auto receiverIdleTimeout = 30s; // longer than the sender's, so that no message is sent on a closed stream
+    // A stream can stop delivering without an error at the sender, and the members repeat what was lost. The repetition
+    // needs another stream, so each is used only for this time.
+    constexpr auto streamLifetime = 1s;
+    constexpr auto receiverIdleTimeout = 30s; // longer than streamLifetime, so that no message is sent on a closed stream
 
     std::array<std::uint8_t, lengthBytes> encodeLength(std::size_t length)
     {
@@ -48,17 +50,18 @@
 void PeerTransport::enqueue(const std::string& address, fleet::Message message)
 {
     auto& queue = this->outgoingQueues[address];
-    if (!queue) {
+    const bool isNew = !queue;
+    if (isNew)
         queue = std::make_shared<OutgoingQueue>(this->executor);
-        asio::co_spawn(
-            this->executor, [self = this->shared_from_this(), address, added = queue] { return self->runOutgoingStream(address, added); }, asio::detached);
-    }
     if (queue->messages.size() >= maxQueuedMessages) {
         ++this->peerCounters.dropped;
         return;
     }
     queue->messages.push_back(std::move(message));
     queue->messageAdded.cancel();
+    if (isNew)
+        asio::co_spawn(
+            this->executor, [self = this->shared_from_this(), address, added = queue] { return self->runOutgoingQueue(address, added); }, asio::detached);
 }
 
 Task<bool> PeerTransport::connect(Stream& stream, const std::string& address)
@@ -71,9 +74,10 @@
     co_return !error && !this->isClosed;
 }
 
-Task<bool> PeerTransport::sendQueued(Stream& stream, OutgoingQueue& queue)
+// Sends the queued messages until the queue is empty or `end` has passed. Returns false if the stream failed.
+Task<bool> PeerTransport::sendQueued(Stream& stream, OutgoingQueue& queue, core::TimePoint end)
 {
-    while (!queue.messages.empty()) {
+    while (!queue.messages.empty() && now() < end) {
         const std::vector<std::uint8_t> bytes = encodePeerMessage(queue.messages.front());
         queue.messages.pop_front();
         if (bytes.size() > maxFrameBytes) {
@@ -92,21 +96,31 @@
     co_return true;
 }
 
-// Opens a stream, sends the messages of one queue and closes the stream after senderIdleTimeout without a message.
-Task<void> PeerTransport::runOutgoingStream(std::string address, std::shared_ptr<OutgoingQueue> queue)
+// Opens a stream and sends the messages of one queue on it for streamLifetime. Returns false if the stream failed.
+Task<bool> PeerTransport::runOutgoingStream(const std::string& address, OutgoingQueue& queue)
 {
     Stream stream(this->executor);
     this->streams.insert(&stream);
-    bool open = co_await this->connect(stream, address);
-    while (open && !queue->messages.empty()) {
-        open = co_await this->sendQueued(stream, *queue);
-        if (!open)
+    bool isOpen = co_await this->connect(stream, address);
+    const core::TimePoint end = now() + streamLifetime;
+    while (isOpen && now() < end) {
+        isOpen = co_await this->sendQueued(stream, queue, end);
+        if (!isOpen)
             break;
-        queue->messageAdded.expires_after(senderIdleTimeout);
-        co_await queue->messageAdded.async_wait(useResult);
+        queue.messageAdded.expires_at(end);
+        co_await queue.messageAdded.async_wait(useResult);
     }
-    this->peerCounters.dropped += queue->messages.size();
     this->streams.erase(&stream);
+    co_return isOpen && !this->isClosed;
+}
+
+// Sends the messages of one queue over one stream after the other, until the queue is empty or a stream fails.
+Task<void> PeerTransport::runOutgoingQueue(std::string address, std::shared_ptr<OutgoingQueue> queue)
+{
+    bool isReachable = true;
+    while (isReachable && !queue->messages.empty())
+        isReachable = co_await this->runOutgoingStream(address, *queue);
+    this->peerCounters.dropped += queue->messages.size();
     auto found = this->outgoingQueues.find(address);
     if (found != this->outgoingQueues.end() && found->second == queue)
         this->outgoingQueues.erase(found);
--- a/src/wire/peer_transport.h
+++ b/src/wire/peer_transport.h
@@ -69,8 +69,9 @@
     Task<void> runIncomingStream(std::shared_ptr<Stream>);
     Task<bool> readFrame(Stream&, std::vector<std::uint8_t>&) const;
     Task<bool> connect(Stream&, const std::string& address);
-    Task<bool> sendQueued(Stream&, OutgoingQueue&);
-    Task<void> runOutgoingStream(std::string address, std::shared_ptr<OutgoingQueue>);
+    Task<bool> sendQueued(Stream&, OutgoingQueue&, core::TimePoint end);
+    Task<bool> runOutgoingStream(const std::string& address, OutgoingQueue&);
+    Task<void> runOutgoingQueue(std::string address, std::shared_ptr<OutgoingQueue>);
 
     Executor executor;
     DatagramSocket socket;
