Let a member that was cut off alone find the others within seconds

What callers saw: a VM went on with an older configuration for seconds after a cut that had ended, if its watch of the store had died with the cut. Its peers couldn't tell it: it and they held each other for dead and pinged a lost member once in 10 s each, all at about the same moment, since they had started together.

Now the members on one side of a partition ping a lost member about once a second in sum, at random times; at ten members and more, each once in 10 s as before.

--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -17,9 +17,10 @@
     constexpr core::Duration suspicionTimeoutBase = 3s;
     constexpr core::Duration suspicionTimeoutPerDoubling = 300ms;
     constexpr core::Duration deadRetention = 1h;
-    // Partitioned regions find each other again after about this time. For that, each member sends one datagram per
-    // period, or two if a seed is not live.
-    constexpr core::Duration lostPingPeriod = 10s;
+    // The members on one side of a partition together ping a lost member about once per period, so that the sides find
+    // each other again. Each ping is one datagram, or two if a seed is not live.
+    constexpr core::Duration lostPingPeriod = 1s;
+    constexpr core::Duration maxLostPingPeriod = 10s; // of one member; reached in a fleet of ten
     constexpr core::Duration joinRetryInterval = 1s;
     constexpr core::Duration slowJoinRetryInterval = 5s;
     // When many members start together, the first replies contain only few of them, so the member joins once more.
@@ -67,7 +68,7 @@
     : selfId(options.self.fact.id)
     , seeds(std::move(options.seeds))
     , prober(now)
-    , nextLostPing(now + lostPingPeriod)
+    , nextLostPing(now + maxLostPingPeriod)
 {
     std::erase(this->seeds, options.self.peerAddress);
     const MemberFact fact = options.self.fact;
@@ -80,7 +81,7 @@
 {
     this->prober.reset(now);
     this->nextGossip = now;
-    this->nextLostPing = now + lostPingPeriod;
+    this->nextLostPing = this->nextLostPingTime(now, random);
     this->joined = this->seeds.empty();
     this->needsRejoin = !this->seeds.empty();
     if (!this->joined)
@@ -213,10 +214,21 @@
     this->join(now, random, outbox);
 }
 
+core::Duration Membership::ownLostPingPeriod() const
+{
+    return std::min<core::Duration>(maxLostPingPeriod, lostPingPeriod * this->liveCount());
+}
+
+// A random time, because members that started together would otherwise ping together.
+core::TimePoint Membership::nextLostPingTime(core::TimePoint now, core::RandomEngine& random) const
+{
+    return now + this->ownLostPingPeriod() * std::uniform_int_distribution<int>(50, 150)(random) / 100;
+}
+
 // Pings one random dead member and one random seed that is not a live member, in case a partition has ended.
 void Membership::pingLostMembers(core::TimePoint now, core::RandomEngine& random, Outbox& outbox)
 {
-    this->nextLostPing = now + lostPingPeriod;
+    this->nextLostPing = this->nextLostPingTime(now, random);
     std::vector<const MemberRecord*> dead;
     std::vector<std::string> unknownSeeds = this->seeds;
     for (const auto& [id, member] : this->members) {
@@ -319,8 +331,10 @@
     member.deadline = core::TimePoint::max();
     if (fact.state == MemberState::Suspect)
         member.deadline = now + this->suspicionTimeout();
-    else if (!isLive(fact.state))
+    else if (!isLive(fact.state)) {
         member.deadline = now + deadRetention;
+        this->nextLostPing = std::min(this->nextLostPing, now + this->ownLostPingPeriod());
+    }
     this->nextDeadline = std::min(this->nextDeadline, member.deadline);
     this->queueRumor(fact.id, false, now);
     ++this->changeCount;
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -91,6 +91,8 @@
     void join(core::TimePoint now, core::RandomEngine&, Outbox&);
     void askToJoin(const std::string& address, Outbox&) const;
     void pingLostMembers(core::TimePoint now, core::RandomEngine&, Outbox&);
+    core::Duration ownLostPingPeriod() const;
+    core::TimePoint nextLostPingTime(core::TimePoint now, core::RandomEngine&) const;
     void applyHeader(Context&, core::TimePoint now);
     void requestMissingRecords(Context&, core::TimePoint now);
     void handleProbeMessages(Context&, core::TimePoint now);
--- a/tests/pure/objects.cpp
+++ b/tests/pure/objects.cpp
@@ -148,8 +148,11 @@
         simulation.startFleet(8);
         simulation.run(10s + seed * 700ms);
         simulation.partition({ { 7, 1 } });
-        simulation.run(20s);
-        REQUIRE(simulation.stateOf(0, 7) == core::MemberState::Dead);
+        const auto isDeadForAll = [&] {
+            return std::ranges::all_of(std::array { 0, 1, 2, 3, 4, 5, 6 }, [&](int other) { return simulation.stateOf(other, 7) == core::MemberState::Dead && simulation.stateOf(7, other) == core::MemberState::Dead; });
+        };
+        REQUIRE(simulation.runUntil(isDeadForAll, 60s));
+        simulation.run(seed * 300ms);
         simulation.heal();
         simulation.run(4s);
         publish(simulation, 0, object("late", 5, std::string(4000, 'c')));
