Let each VM know how old its knowledge of the store is, and ask again in time

What callers saw: a VM ran requests by a configuration that had been replaced more than 2.5 s before, and sent work to servers that were leaving.

Cause: a watch without an answer was taken for the absence of news, for as long as it lasted (15 s and 1.5 s). Where its connection had gone silent without being closed, the VM had no reason to doubt it; peers hid that as long as one of them had a live watch and could be reached.

Now the first VM in an order that all agree on asks the store often, for all; confirmations of the store travel in the header of each message between VMs; and a VM gives up its watch if nobody has heard from the store for too long, or if a peer knows a change that the watch hasn't reported. An exchange with the store can be cancelled, and one that fails takes the idle connections with it.

Tried on the way: replacing a call that itself is a replacement.

--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -210,12 +210,23 @@
 using Body = std::variant<Ping, Ack, PingRequest, Join, JoinReply, RecordsWanted, Records, Sync, Buckets, MemberBucket, ObjectBucket, ObjectPush,
     ObjectAnnounce, ObjectsWanted, CatalogueWanted, LoadReport, DigestPush, DigestsWanted, NamesWanted, NamesReply>;
 
+// How long ago the store confirmed to the sender, or to another member, that `revision` was the last change of a kind of
+// objects.
+struct ConfirmationFact {
+    NameId kind {};
+    std::uint32_t ageMs = 0;
+    std::uint64_t revision = 0;
+
+    bool operator==(const ConfirmationFact&) const = default;
+};
+
 struct Message {
     std::uint64_t fleet = 0; // hash of the fleet's name; messages of other fleets are dropped
     MemberId sender {};
     std::string senderAddress {}; // only in messages over a stream, whose source port is ephemeral
     std::vector<MemberFact> facts {}; // piggybacked gossip, or the content of Records
     std::vector<MemberRecord> records {};
+    std::vector<ConfirmationFact> confirmations {};
     Body body {};
 };
 
--- a/src/fleet/pipeline.cpp
+++ b/src/fleet/pipeline.cpp
@@ -62,13 +62,19 @@
     return Step::pass(std::move(context));
 }
 
-Step AddHeaders::operator()(Context context, core::TimePoint) const
+Step UpdateConfirmations::operator()(Context context, core::TimePoint now) const
 {
-    this->addTo(*context.outbox);
+    this->confirmations.handle(context.received.message, now);
     return Step::pass(std::move(context));
 }
 
-void AddHeaders::addTo(Outbox& outbox) const
+Step AddHeaders::operator()(Context context, core::TimePoint now) const
+{
+    this->addTo(*context.outbox, now);
+    return Step::pass(std::move(context));
+}
+
+void AddHeaders::addTo(Outbox& outbox, core::TimePoint now) const
 {
     const MemberRecord& self = this->membership.self();
     for (OutgoingMessage& out : outbox) {
@@ -80,6 +86,7 @@
             out.message.senderAddress = self.peerAddress;
         if (canCarryGossip(out.message.body))
             this->membership.piggyback(out.message);
+        this->confirmations.addTo(out.message, now);
     }
 }
 
@@ -92,8 +99,9 @@
           UpdateMembership { .membership = this->membership, .random = this->random },
           UpdateObjects { .objects = this->objects, .random = this->random },
           UpdateDigests { .digests = this->digests },
-          AddHeaders { .fleet = core::hashBytes(options.fleet), .membership = this->membership })
-    , addHeaders { .fleet = core::hashBytes(options.fleet), .membership = this->membership }
+          UpdateConfirmations { .confirmations = this->confirmations },
+          AddHeaders { .fleet = core::hashBytes(options.fleet), .membership = this->membership, .confirmations = this->confirmations })
+    , addHeaders { .fleet = core::hashBytes(options.fleet), .membership = this->membership, .confirmations = this->confirmations }
     , nextSync(now)
 {
 }
@@ -105,7 +113,7 @@
     // Spreads the syncs of members that start together over the period.
     this->nextSync = now + syncPeriod * std::uniform_int_distribution<int>(1, 100)(this->random) / 100;
     this->membership.start(now, this->random, outbox);
-    this->addHeaders.addTo(outbox);
+    this->addHeaders.addTo(outbox, now);
 }
 
 // A late timer means that this process was paused and that its view is outdated. It asks peers for the current state
@@ -129,7 +137,7 @@
         --this->cataloguesToRequest;
         Objects::requestCatalogue(result.output().replyAddress(), outbox);
     }
-    this->addHeaders.addTo(outbox);
+    this->addHeaders.addTo(outbox, now);
 }
 
 void Node::onTimer(core::TimePoint now, Outbox& outbox)
@@ -140,7 +148,7 @@
     this->digests.onTimer(now, this->random, outbox);
     if (now >= this->nextSync)
         this->sendSync(now, outbox);
-    this->addHeaders.addTo(outbox);
+    this->addHeaders.addTo(outbox, now);
 }
 
 // Starts anti-entropy with a random member.
@@ -161,10 +169,10 @@
     return this->objects.publish(std::move(object), propagation, now);
 }
 
-void Node::joinThrough(const std::vector<std::string>& addresses, Outbox& outbox)
+void Node::joinThrough(const std::vector<std::string>& addresses, core::TimePoint now, Outbox& outbox)
 {
     this->membership.joinThrough(addresses, outbox);
-    this->addHeaders.addTo(outbox);
+    this->addHeaders.addTo(outbox, now);
 }
 
 void Node::publish(const Item& item, core::TimePoint now)
@@ -180,13 +188,13 @@
 void Node::announceLeaving(core::TimePoint now, Outbox& outbox)
 {
     this->membership.announce(core::MemberState::Leaving, now, this->random, outbox);
-    this->addHeaders.addTo(outbox);
+    this->addHeaders.addTo(outbox, now);
 }
 
 void Node::announceLeft(core::TimePoint now, Outbox& outbox)
 {
     this->membership.announce(core::MemberState::Left, now, this->random, outbox);
-    this->addHeaders.addTo(outbox);
+    this->addHeaders.addTo(outbox, now);
 }
 
 Snapshot Node::snapshot(core::TimePoint now) const
--- a/src/fleet/pipeline.h
+++ b/src/fleet/pipeline.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/pipe.h"
+#include "fleet/confirmations.h"
 #include "fleet/digests.h"
 #include "fleet/membership.h"
 #include "fleet/messages.h"
@@ -56,17 +57,25 @@
     Step operator()(Context, core::TimePoint now) const;
 };
 
+// Filter: takes over the store's confirmations in the header of any message.
+struct UpdateConfirmations {
+    Confirmations& confirmations;
+
+    Step operator()(Context, core::TimePoint now) const;
+};
+
 // Filter: adds the header and gossip to the messages in the outbox.
 struct AddHeaders {
     std::uint64_t fleet = 0;
     Membership& membership;
+    const Confirmations& confirmations;
 
     Step operator()(Context, core::TimePoint now) const;
-    void addTo(Outbox&) const;
+    void addTo(Outbox&, core::TimePoint now) const;
 };
 
 // The filters that a received message passes through, in this order.
-using FleetPipe = core::Pipe<CheckSender, UpdateMembership, UpdateObjects, UpdateDigests, AddHeaders>;
+using FleetPipe = core::Pipe<CheckSender, UpdateMembership, UpdateObjects, UpdateDigests, UpdateConfirmations, AddHeaders>;
 
 // A member of the fleet: a state machine without I/O that the control thread drives.
 //
@@ -93,7 +102,12 @@
     bool publish(core::Object, core::TimePoint now, Propagation propagation = Propagation::Gossip);
 
     // Sends a join request to these addresses, in addition to the seeds.
-    void joinThrough(const std::vector<std::string>& addresses, Outbox&);
+    void joinThrough(const std::vector<std::string>& addresses, core::TimePoint now, Outbox&);
+
+    // Records that the store has just confirmed to this member that no object of the kind changed after `revision`.
+    void confirm(std::string_view kind, std::uint64_t revision, core::TimePoint now) { this->confirmations.confirm(kind, revision, now); }
+    // The store's newest confirmation of a kind, received by this or another member.
+    std::optional<Confirmation> confirmation(std::string_view kind) const { return this->confirmations.find(kind); }
 
     // Publishes an item for a limited time. It replaces the item with the same kind and key, unless that one has the
     // same content and state of withdrawal, and at least half as much time remaining.
@@ -123,6 +137,7 @@
     Membership membership;
     Objects objects;
     Digests digests;
+    Confirmations confirmations;
     FleetPipe pipe;
     AddHeaders addHeaders;
     core::TimePoint nextSync;
--- a/src/fleet/rendezvous.cpp
+++ b/src/fleet/rendezvous.cpp
@@ -31,6 +31,15 @@
     return picked;
 }
 
+std::size_t rankFor(std::string_view topic, const std::vector<MemberRecord>& members, MemberId member)
+{
+    const std::uint64_t salt = core::hashBytes(topic);
+    const auto score = [salt](MemberId id) { return core::hashCombine(static_cast<std::uint64_t>(id), salt); };
+    return static_cast<std::size_t>(std::ranges::count_if(members, [&](const MemberRecord& other) {
+        return other.fact.state == core::MemberState::Alive && other.fact.id != member && score(other.fact.id) > score(member);
+    }));
+}
+
 std::vector<MemberId> storeWatchers(const std::vector<const MemberRecord*>& members, std::string_view domain)
 {
     return membersWithRole(members, domain, Role::WatchStore);
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -24,6 +24,13 @@
     CircuitBreakerOptions breaker;
 };
 
+struct WatchOptions {
+    core::Duration wait {}; // for changes
+    // For the answer, in addition to `wait`; zero: that of the client.
+    core::Duration answerTimeout {};
+    std::shared_ptr<ExchangeCancellation> cancellation {}; // null: never cancelled
+};
+
 // Client of the platform's store, with timeouts, retries, a rate limit and a circuit breaker. All calls must be made on
 // one thread; several calls can be in flight at the same time.
 //
@@ -39,10 +46,11 @@
     // from that version misses no change.
     boost::asio::awaitable<ObjectBatch> list(std::string kind, Consistency = Consistency::Linearizable);
 
-    // Waits at most `wait` for changes after store version `fromVersion` and returns them; the batch is empty if there
-    // were none. Does not wait while the circuit breaker is open. Makes one attempt only.
-    // Also throws HistoryGone if the store no longer holds the changes since that version.
-    boost::asio::awaitable<ObjectBatch> watch(std::string kind, std::uint64_t fromVersion, core::Duration wait);
+    // Waits for changes after store version `fromVersion` and returns them; the batch is empty if there were none. Does
+    // not wait while the circuit breaker is open. Makes one attempt only.
+    // Also throws HistoryGone if the store no longer holds the changes since that version. A watch that was cancelled
+    // throws StoreUnavailable and doesn't count as a failure of the store.
+    boost::asio::awaitable<ObjectBatch> watch(std::string kind, std::uint64_t fromVersion, WatchOptions);
 
     // Creates an object and returns true, or returns false if the object exists already. Makes one attempt only.
     boost::asio::awaitable<bool> create(std::string kind, std::string name, std::string content);
--- a/src/store/client_impl.h
+++ b/src/store/client_impl.h
@@ -114,6 +114,8 @@
     if (start > now)
         co_await this->transport.waitUntil(start);
     HttpResponse response = co_await this->transport.exchange(std::move(request), std::max(now, start) + timeout);
+    if (response.outcome == ExchangeOutcome::Cancelled)
+        co_return response;
     admitted.hasResult = true;
     if (isServerFailure(response))
         this->breaker->recordFailure(this->transport.now(), this->random);
@@ -161,14 +163,16 @@
 }
 
 template <Transport TransportType, ObjectApi ApiType>
-asio::awaitable<ObjectBatch> Client<TransportType, ApiType>::watch(std::string kind, std::uint64_t fromVersion, core::Duration wait)
+asio::awaitable<ObjectBatch> Client<TransportType, ApiType>::watch(std::string kind, std::uint64_t fromVersion, WatchOptions watchOptions)
 {
     // While the circuit breaker is open, the watch can be its probe and keeps all other calls from the store until it
     // ends, so it does not wait for changes.
     if (this->breaker->isOpen())
-        wait = core::Duration::zero();
-    HttpRequest request = ApiType::makeWatchRequest(kind, fromVersion, wait);
-    HttpResponse response = co_await this->attempt(std::move(request), wait + this->options.watchTimeoutMargin);
+        watchOptions.wait = core::Duration::zero();
+    const core::Duration answerTimeout = watchOptions.answerTimeout > core::Duration::zero() ? watchOptions.answerTimeout : this->options.watchTimeoutMargin;
+    HttpRequest request = ApiType::makeWatchRequest(kind, fromVersion, watchOptions.wait);
+    request.cancellation = std::move(watchOptions.cancellation);
+    HttpResponse response = co_await this->attempt(std::move(request), watchOptions.wait + answerTimeout);
     if (isServerFailure(response))
         throw storeUnavailable(response);
     if (response.status == httpGone)
@@ -304,12 +308,14 @@
     };
     CursorStep next = cursor.nextStep();
     if (next == CursorStep::Verify) {
-        ObjectBatch batch = co_await this->watch({}, cursor.fromVersion() - 1, core::Duration(0));
+        const WatchOptions withoutWaiting {};
+        ObjectBatch batch = co_await this->watch({}, cursor.fromVersion() - 1, withoutWaiting);
         cursor.recordVerification(batch);
         co_return newer;
     }
     if (next == CursorStep::Watch) {
-        ObjectBatch batch = co_await this->watch({}, cursor.fromVersion(), maxWatchWait);
+        const WatchOptions watchOptions { .wait = maxWatchWait };
+        ObjectBatch batch = co_await this->watch({}, cursor.fromVersion(), watchOptions);
         cursor.recordWatch(batch);
         collectNewer(batch);
         co_return newer;
--- a/src/store/http_transport.cpp
+++ b/src/store/http_transport.cpp
@@ -121,33 +121,59 @@
     std::shared_ptr<Connection> connection = this->takeIdleConnection();
     if (!connection)
         connection = co_await this->connect(deadline);
-    if (!connection || this->isClosed)
-        co_return HttpResponse { .outcome = ExchangeOutcome::NotSent, .status = 0, .body = {} };
+    const bool isCancelled = request.cancellation && request.cancellation->isCancelled();
+    if (!connection || this->isClosed || isCancelled)
+        co_return HttpResponse { .outcome = isCancelled ? ExchangeOutcome::Cancelled : ExchangeOutcome::NotSent, .status = 0, .body = {} };
     std::erase_if(this->busyConnections, [](const std::weak_ptr<Connection>& other) { return other.expired(); });
     this->busyConnections.push_back(connection);
+    if (request.cancellation)
+        request.cancellation->onCancel = [connection] { connection->stream.close(); };
+    HttpResponse response = co_await this->exchangeOn(*connection, request, deadline);
+    if (request.cancellation)
+        request.cancellation->onCancel = nullptr;
+    if (response.outcome == ExchangeOutcome::Answered) {
+        if (connection->stream.socket().is_open())
+            this->keepIdle(connection);
+        co_return response;
+    }
+    // What ended this connection may have ended the idle ones as well, without a sign of it.
+    this->idleConnections.clear();
+    if (request.cancellation && request.cancellation->isCancelled())
+        response.outcome = ExchangeOutcome::Cancelled;
+    co_return response;
+}
 
-    http::request<http::string_body> message(toVerb(request.method), request.target, 11, std::move(request.body));
+// Sends the request and reads the response on this connection. Closes it if it can't be used again.
+asio::awaitable<HttpResponse> HttpTransport::exchangeOn(Connection& connection, const HttpRequest& request, core::TimePoint deadline) const
+{
+    http::request<http::string_body> message(toVerb(request.method), request.target, 11, request.body);
     message.set(http::field::host, this->endpoint.address().to_string());
     if (!message.body().empty())
         message.set(http::field::content_type, "application/json");
     message.prepare_payload();
     boost::system::error_code error;
-    connection->stream.expires_at(deadline);
-    co_await http::async_write(connection->stream, message, asio::redirect_error(asio::use_awaitable, error));
+    connection.stream.expires_at(deadline);
+    co_await http::async_write(connection.stream, message, asio::redirect_error(asio::use_awaitable, error));
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxResponseBytes);
     if (!error)
-        co_await http::async_read(connection->stream, connection->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        co_await http::async_read(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return HttpResponse { .outcome = ExchangeOutcome::Lost, .status = 0, .body = {} };
-    if (parser.get().keep_alive() && !this->isClosed && this->idleConnections.size() < maxIdleConnections) {
-        connection->stream.expires_never();
-        connection->idleSince = this->now();
-        this->idleConnections.push_back(connection);
-    }
+    if (!parser.get().keep_alive())
+        connection.stream.close();
     co_return HttpResponse { .outcome = ExchangeOutcome::Answered, .status = parser.get().result_int(), .body = std::move(parser.get().body()) };
 }
 
+void HttpTransport::keepIdle(const std::shared_ptr<Connection>& connection)
+{
+    if (this->isClosed || this->idleConnections.size() >= maxIdleConnections)
+        return;
+    connection->stream.expires_never();
+    connection->idleSince = this->now();
+    this->idleConnections.push_back(connection);
+}
+
 void HttpTransport::close()
 {
     this->isClosed = true;
--- a/src/store/http_transport.h
+++ b/src/store/http_transport.h
@@ -34,6 +34,8 @@
 
     boost::asio::awaitable<std::shared_ptr<Connection>> connect(core::TimePoint deadline);
     std::shared_ptr<Connection> takeIdleConnection();
+    void keepIdle(const std::shared_ptr<Connection>&);
+    boost::asio::awaitable<HttpResponse> exchangeOn(Connection&, const HttpRequest&, core::TimePoint deadline) const;
 
     boost::asio::io_context& context;
     boost::asio::ip::tcp::endpoint endpoint;
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -22,12 +22,28 @@
     // Of a list. A stale one is enough before a watch, which reports all later changes, unless the store no longer
     // holds the changes since such an old version.
     Consistency consistency = Consistency::Stale;
+    core::Duration wait {}; // of a watch: for changes
+    core::Duration answerTimeout {}; // of a watch: for the answer, after `wait`
+};
+
+// What the fleet knows of the objects of a kind, as this member sees it.
+struct FleetKnowledge {
+    std::size_t rank = 0; // of this member in the order in which members ask the store for the fleet
+    std::size_t members = 1; // alive, including this one
+    std::uint64_t newestRevision = 0; // of the objects that this member holds, from whatever source
+    // When the store last confirmed to any member that there is no newer one; empty: never.
+    std::optional<core::TimePoint> confirmedAt {};
 };
 
 // Keeps up to date with the objects of one kind: lists them first, then watches for changes, and lists them again when
 // the store no longer holds the changes since the last call. Passes on only changes that are newer than what it knows.
 // Does no I/O: the owner makes the calls and passes in their results.
 //
+// A watch without an answer doesn't show whether there are no changes or whether its connection is dead. The first member
+// of the fleet therefore waits only for `confirmInterval`, and all others learn from it how old the fleet's knowledge is.
+// A member replaces its watch by a call without waiting if that knowledge becomes too old, or if another member knows a
+// change that the watch has not reported.
+//
 // An object's `version.revision` is the store version of its last change. A removal has `version.version` 1, so it
 // orders after the state that it removes.
 class ObjectWatcher {
@@ -41,6 +57,12 @@
         // How long removals are held back if they are first seen after an outage of the store. Entries that expired
         // during the outage are written again within two seconds after it.
         core::Duration removalHoldTime {};
+        core::Duration maxWait = std::chrono::seconds(30); // of a watch; the store allows no longer one
+        core::Duration confirmInterval = std::chrono::seconds(1); // between two answers to the first member
+        // For the answer of a watch after its wait. It doubles with each failure up to `maxAnswerTimeout`, because a store
+        // that is slow would otherwise never be heard.
+        core::Duration answerTimeout = std::chrono::milliseconds(600);
+        core::Duration maxAnswerTimeout = std::chrono::milliseconds(1500);
     };
 
     explicit ObjectWatcher(Options watcherOptions)
@@ -63,6 +85,16 @@
     // Records a failed call. The random delay before the next one spreads the calls of many entry VMs.
     void recordFailure(core::TimePoint now, core::RandomEngine& random);
 
+    // Sets what the fleet knows. It decides how long the next watch waits and when the pending one is replaced.
+    void setFleetKnowledge(const FleetKnowledge&, core::TimePoint now);
+
+    // When a pending watch has to be replaced, unless what the fleet knows changes until then. A call that replaces
+    // another one is not replaced: it ends within its timeout.
+    core::TimePoint replacementTime() const;
+
+    // Records that the pending watch is given up. The next one follows at once and doesn't wait for changes.
+    void recordReplacement(core::TimePoint now);
+
     // Returns the removals whose hold time has passed, and forgets them. To be called at `nextReleaseTime()`.
     std::vector<core::Object> releaseHeldRemovals(core::TimePoint now);
     std::optional<core::TimePoint> nextReleaseTime() const;
@@ -72,6 +104,8 @@
     // When the store last answered a call with its newest state; empty: never. Between two answers of watches, a change
     // that the store has not reported can exist.
     std::optional<core::TimePoint> confirmedAt() const { return this->lastConfirmation; }
+    // The store's revision of the last change of the kind that was seen; 0: none.
+    std::uint64_t lastChange() const { return this->lastChangedRevision; }
     // The kind of the last call that was answered.
     WatcherCallKind lastAnswered() const { return this->lastAnsweredCall; }
     const std::string& kind() const { return this->options.kind; }
@@ -83,6 +117,8 @@
     };
 
     void recordSuccess(core::TimePoint now);
+    core::Duration confirmationLimit() const;
+    core::Duration currentAnswerTimeout() const;
     void applyUpdate(core::Object, core::TimePoint now, std::vector<core::Object>& accepted);
     void applyRemoval(core::Object, core::TimePoint now, std::vector<core::Object>& accepted);
 
@@ -92,6 +128,11 @@
     std::map<std::string, HeldRemoval> heldRemovals; // by object name
     std::optional<core::TimePoint> lastConfirmation;
     WatcherCallKind lastAnsweredCall = WatcherCallKind::List;
+    std::uint64_t lastChangedRevision = 0;
+    FleetKnowledge fleet;
+    std::optional<core::TimePoint> behindSince; // since when another member knows a later change
+    core::TimePoint lastAnswerAt {};
+    bool isReplacing = false; // the next watch must not wait for changes
     unsigned failures = 0; // consecutive
     Consistency listConsistency = Consistency::Stale; // of the next list
     core::TimePoint nextCallTime {};
--- a/src/wire/event_log.h
+++ b/src/wire/event_log.h
@@ -20,6 +20,7 @@
     Reload,
     DependencyLost,
     DependencyRegained,
+    WatchReplaced, // a pending watch of the store was given up, because other members know more or nobody has news
     Configuration, // another configuration is in force
     ServerState, // a backend server was added, changed its state or was removed
     MemberState, // another entry VM changed its state
@@ -68,7 +69,7 @@
 
 template <>
 struct cranberryshed::core::Names<cranberryshed::wire::LogEvent> {
-    static constexpr std::array<std::string_view, 14> values = { "start", "stop", "reload", "dependency-lost", "dependency-regained", "configuration", "server-state", "member-state", "evacuation", "sent", "attempt-ended", "answered", "refused", "caller-gone" };
+    static constexpr std::array<std::string_view, 15> values = { "start", "stop", "reload", "dependency-lost", "dependency-regained", "watch-replaced", "configuration", "server-state", "member-state", "evacuation", "sent", "attempt-ended", "answered", "refused", "caller-gone" };
 };
 
 template <>
--- a/src/wire/peer_decode.cpp
+++ b/src/wire/peer_decode.cpp
@@ -65,6 +65,11 @@
         return { .id = fleet::ObjectId { fact.id() }, .version = { .revision = fact.revision(), .version = fact.version() }, .bytes = fact.bytes() };
     }
 
+    fleet::ConfirmationFact readFact(const peer::Confirmation& fact)
+    {
+        return { .kind = fleet::NameId { fact.kind() }, .ageMs = fact.age_ms(), .revision = fact.revision() };
+    }
+
     template <typename Fact, typename Vector>
     std::vector<Fact> readFacts(const Vector* facts)
     {
@@ -250,6 +255,7 @@
         for (const peer::MemberRecord* record : *packet.records())
             message.records.push_back(readRecord(*record));
     }
+    message.confirmations = readFacts<fleet::ConfirmationFact>(packet.confirmations());
     message.body = readBody(packet);
     return message;
 }
--- a/src/wire/peer_encode.cpp
+++ b/src/wire/peer_encode.cpp
@@ -34,6 +34,11 @@
         return { rawValue(fact.id), fact.version.revision, fact.version.version, fact.bytes };
     }
 
+    peer::Confirmation encodeFact(const fleet::ConfirmationFact& fact)
+    {
+        return { rawValue(fact.kind), fact.ageMs, fact.revision };
+    }
+
     template <typename Fact>
     auto encodeFacts(Builder& builder, const std::vector<Fact>& facts)
     {
@@ -163,7 +168,8 @@
     const auto address = message.senderAddress.empty() ? 0 : builder.CreateString(message.senderAddress);
     const auto facts = message.facts.empty() ? 0 : encodeFacts(builder, message.facts);
     const auto records = message.records.empty() ? 0 : encodeRecords(builder, message.records);
-    builder.Finish(peer::CreatePacket(builder, message.fleet, rawValue(message.sender), address, facts, records, type, body), peer::PacketIdentifier());
+    const auto confirmations = message.confirmations.empty() ? 0 : encodeFacts(builder, message.confirmations);
+    builder.Finish(peer::CreatePacket(builder, message.fleet, rawValue(message.sender), address, facts, records, type, body, confirmations), peer::PacketIdentifier());
     return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
 }
 
--- a/src/wire/peer_node.cpp
+++ b/src/wire/peer_node.cpp
@@ -33,7 +33,12 @@
 
 void PeerNode::joinThrough(const std::vector<std::string>& addresses)
 {
-    this->transport->runOnNode([&](fleet::Node& node, core::TimePoint, fleet::Outbox& outbox) { node.joinThrough(addresses, outbox); });
+    this->transport->runOnNode([&](fleet::Node& node, core::TimePoint now, fleet::Outbox& outbox) { node.joinThrough(addresses, now, outbox); });
+}
+
+void PeerNode::confirm(std::string_view kind, std::uint64_t revision)
+{
+    this->transport->runOnNode([&](fleet::Node& node, core::TimePoint now, fleet::Outbox&) { node.confirm(kind, revision, now); });
 }
 
 bool PeerNode::publish(core::Object object, fleet::Propagation propagation)
--- a/src/wire/peer_node.h
+++ b/src/wire/peer_node.h
@@ -46,6 +46,7 @@
     // Call the functions of the same name of Node and send the resulting messages.
     bool publish(core::Object, fleet::Propagation = fleet::Propagation::Gossip);
     void joinThrough(const std::vector<std::string>& addresses);
+    void confirm(std::string_view kind, std::uint64_t revision);
     void publish(const fleet::Item&);
     void setLoad(const core::DomainDigest&);
 
--- a/tests/io/object_watcher.cpp
+++ b/tests/io/object_watcher.cpp
@@ -103,3 +103,66 @@
     }
     CHECK(calls <= 24);
 }
+
+// Guards against members that all ask often, and against a first one that waits so long that a dead connection hides news.
+TEST_CASE("only the first member's watch is short", "[follower]")
+{
+    store::ObjectWatcher watcher({ .kind = "servers", .maxWait = 30s, .confirmInterval = 700ms });
+    watcher.handleList({ entry("a", 3) }, 7, start);
+    watcher.setFleetKnowledge({ .rank = 0, .members = 9 }, start);
+    CHECK(watcher.nextCall().wait == 700ms);
+    watcher.setFleetKnowledge({ .rank = 1, .members = 9 }, start);
+    CHECK(watcher.nextCall().wait == 30s);
+}
+
+// Guards against a dead watch that is believed, and against one that is given up again and again while the store is silent.
+TEST_CASE("a watch is replaced once when the fleet's knowledge is old", "[follower]")
+{
+    store::ObjectWatcher watcher({ .kind = "servers", .batchDelay = 300ms, .confirmInterval = 700ms });
+    watcher.handleList({ entry("a", 3) }, 7, start);
+    watcher.handleChanges({}, 7, start);
+    const auto replacementDelay = [&](std::size_t rank, std::optional<core::TimePoint> confirmedAt) {
+        watcher.setFleetKnowledge({ .rank = rank, .members = 9, .newestRevision = 3, .confirmedAt = confirmedAt }, start);
+        return watcher.replacementTime() - start;
+    };
+    CHECK(replacementDelay(0, {}) == 1600ms); // the wait, the batch delay and the time for the answer
+    CHECK(replacementDelay(1, {}) > replacementDelay(0, {}) + 2s); // the first member's confirmation needs time to spread
+    CHECK(replacementDelay(2, {}) > replacementDelay(1, {}));
+    CHECK(replacementDelay(1, start + 5s) == replacementDelay(1, {}) + 5s);
+    watcher.recordReplacement(start + 10s);
+    CHECK(watcher.nextCall().wait == 0s);
+    CHECK(watcher.replacementTime() == core::TimePoint::max());
+    watcher.handleChanges({}, 8, start + 11s);
+    CHECK(watcher.nextCall().wait > 0s);
+    CHECK(watcher.replacementTime() > start + 11s);
+}
+
+// Guards against a member that goes on with a dead watch although its peers know more.
+TEST_CASE("a watch that lacks a peer's change is replaced, one that has it isn't", "[follower]")
+{
+    store::ObjectWatcher watcher({ .kind = "servers", .batchDelay = 300ms });
+    watcher.handleList({ entry("a", 3) }, 7, start);
+    watcher.handleChanges({}, 7, start);
+    const auto knowsOfPeers = [&](std::uint64_t newestRevision, core::TimePoint now) { watcher.setFleetKnowledge({ .rank = 1, .members = 9, .newestRevision = newestRevision, .confirmedAt = now }, now); };
+    knowsOfPeers(9, start + 100ms);
+    knowsOfPeers(9, start + 600ms);
+    CHECK(watcher.replacementTime() == start + 900ms);
+    watcher.handleChanges({ entry("b", 9) }, 9, start + 700ms);
+    knowsOfPeers(9, start + 800ms);
+    CHECK(watcher.replacementTime() > start + 3s);
+}
+
+// Guards against a store that is slow and never heard, because each call ends before its answer arrives.
+TEST_CASE("the time for an answer grows while the store fails", "[follower]")
+{
+    core::RandomEngine random(1);
+    store::ObjectWatcher watcher({ .kind = "servers", .answerTimeout = 600ms, .maxAnswerTimeout = 1500ms });
+    watcher.handleList({}, 7, start);
+    CHECK(watcher.nextCall().answerTimeout == 600ms);
+    watcher.recordFailure(start, random);
+    CHECK(watcher.nextCall().answerTimeout == 1200ms);
+    watcher.recordFailure(start, random);
+    CHECK(watcher.nextCall().answerTimeout == 1500ms);
+    watcher.handleChanges({}, 7, start);
+    CHECK(watcher.nextCall().answerTimeout == 600ms);
+}
--- a/tests/io/peer.cpp
+++ b/tests/io/peer.cpp
@@ -67,7 +67,7 @@
     std::vector<fleet::Message> messages;
     messages.reserve(bodies.size());
     for (const fleet::Body& body : bodies)
-        messages.push_back({ .fleet = 1, .sender = fleet::MemberId { 2 }, .senderAddress = "127.0.0.1:9", .facts = facts, .records = { record("c") }, .body = body });
+        messages.push_back({ .fleet = 1, .sender = fleet::MemberId { 2 }, .senderAddress = "127.0.0.1:9", .facts = facts, .records = { record("c") }, .confirmations = { { .kind = fleet::NameId { 3 }, .ageMs = 4, .revision = 5 } }, .body = body });
     return messages;
 }
 
@@ -116,6 +116,7 @@
         CHECK(decoded.body.index() == message.body.index());
         CHECK(decoded.facts == message.facts);
         CHECK(decoded.records == message.records);
+        CHECK(decoded.confirmations == message.confirmations);
         CHECK(decoded.senderAddress == message.senderAddress);
         CHECK(wire::encodePeerMessage(decoded) == bytes);
     }
