Watch from the oldest page of a stale list

A list of many objects is read in pages, and a stale page can be seconds older than the one before it. The watch started at the version of the first page, so a change between the two was never reported, for example of a server that left; and an object that a page was too old to contain was taken for removed.

"a list is as old as its oldest page" failed before (100 instead of 90).

--- a/src/store/client.h
+++ b/src/store/client.h
@@ -42,8 +42,8 @@
     // The transport must outlive the client, and the client its calls.
     Client(TransportType& transport, ClientOptions options);
 
-    // Returns all objects of a kind, read page by page. The batch has the store version of the first page, so a watch
-    // from that version misses no change.
+    // Returns all objects of a kind, read page by page. The batch has the lowest store version of a page, so a watch from
+    // that version misses no change: later pages can be newer, and if they are stale, also older.
     boost::asio::awaitable<ObjectBatch> list(std::string kind, Consistency = Consistency::Linearizable);
 
     // Waits for changes after store version `fromVersion` and returns them; the batch is empty if there were none. Does
--- a/src/store/client_impl.h
+++ b/src/store/client_impl.h
@@ -153,7 +153,7 @@
         if (response.status != httpOk)
             throw unexpectedStatus(response);
         ObjectPage page = ApiType::decodePage(response.body, kind);
-        batch.version = std::exchange(first, false) ? page.batch.version : batch.version;
+        batch.version = std::exchange(first, false) ? page.batch.version : std::min(batch.version, page.batch.version);
         std::move(page.batch.objects.begin(), page.batch.objects.end(), std::back_inserter(batch.objects));
         if (!after.empty() && page.continueAfter == after)
             throw core::Error(core::ErrorKind::BadMessage, "the store repeats a page of its list of kind " + kind);
--- a/tests/io/store_client.cpp
+++ b/tests/io/store_client.cpp
@@ -109,6 +109,24 @@
 
 }
 
+// Guards against changes that are never seen: a stale list's later pages can be older than its first one, and a watch from
+// the version of the first page reports nothing in between.
+TEST_CASE("a list is as old as its oldest page", "[policy]")
+{
+    MockTransport transport;
+    store::Client<MockTransport, platform::PlatformObjectApi> client(transport, { .writer = "entry-1" });
+    const auto page = [](std::uint64_t version, const std::string& name, bool hasMore) {
+        json::object object = json::parse(objectText(name, json::object {}, 40)).as_object();
+        return json::serialize(json::object { { "items", json::array { std::move(object) } }, { "has_more", hasMore }, { "at", version } });
+    };
+    const std::vector<std::string> pages = { page(100, "a", true), page(90, "b", true), page(95, "c", false) };
+    std::size_t next = 0;
+    REQUIRE_CALL(transport, exchange(trompeloeil::_, trompeloeil::_)).TIMES(3).LR_RETURN(ready(answeredWith(200, pages.at(next++))));
+    const store::ObjectBatch all = run(client.list("servers", store::Consistency::Stale));
+    CHECK(all.objects.size() == 3);
+    CHECK(all.version == 90);
+}
+
 // Guards against processes that failed together and retry together, and against delays that grow without bound.
 TEST_CASE("backoff delays grow up to their bound and are random", "[policy]")
 {
