--- a/src/store/client_impl.h
+++ b/src/store/client_impl.h
@@ -14,7 +14,9 @@
 
 namespace asio = boost::asio;
 
-constexpr core::Duration maxWatchWait = std::chrono::seconds(30);
+// A watch whose connection is dead without being closed reports nothing until it ends. The changes that it misses must
+// still be in force within 18 s.
+constexpr core::Duration maxWatchWait = std::chrono::seconds(5);
 
 // Ends an admitted call that is cancelled, or that ends with an exception, so that its probe does not keep all later
 // calls from the store.
--- a/tests/io/store_client.cpp
+++ b/tests/io/store_client.cpp
@@ -334,9 +334,9 @@
     };
     CHECK_THROWS_AS(run(client.watchForever({ "target" }, onObjects)), StopWatching);
     CHECK(received == std::vector<core::ObjectVersion> { { 2, 5 }, { 3, 6 }, { 4, 8 } });
-    CHECK(targets.at(1) == "/api/objects/cranberryshed?watch=5&wait_ms=30000");
+    CHECK(targets.at(1) == "/api/objects/cranberryshed?watch=5&wait_ms=5000");
     CHECK(targets.at(3) == "/api/objects/cranberryshed?after=target.");
-    CHECK(targets.at(4) == "/api/objects/cranberryshed?watch=5&wait_ms=30000");
+    CHECK(targets.at(4) == "/api/objects/cranberryshed?watch=5&wait_ms=5000");
 }
 
 // Guards against changes that are never seen because a restored store has assigned the versions up to the one that the
@@ -368,3 +368,16 @@
     cursor.recordVerification({ .version = 4, .objects = {} });
     CHECK(cursor.nextStep() == store::CursorStep::List);
 }
+
+// Guards against a change that is not in force within 18 s everywhere, because the store watchers' connections are dead
+// without being closed. The members need up to 5 s of that to spread the change.
+TEST_CASE("a watch without an answer is given up in time", "[policy]")
+{
+    MockTransport transport;
+    MockedClient client(transport, { .writer = "me", .seed = 1 });
+    std::optional<core::Duration> watchTime;
+    ALLOW_CALL(transport, exchange(trompeloeil::_, trompeloeil::_)).RETURN(ready(answeredWith(200, listResponse(5, { target(3, 5) }))));
+    REQUIRE_CALL(transport, exchange(trompeloeil::_, trompeloeil::_)).WITH(_1.target.find("wait_ms") != std::string::npos).LR_SIDE_EFFECT(watchTime = _2 - transport.now()).THROW(StopWatching());
+    CHECK_THROWS_AS(run(client.watchForever({ "target" }, [](const auto&) {})), StopWatching);
+    CHECK(watchTime.value_or(1min) < 13s);
+}
