--- a/tests/io/raw_server.h
+++ b/tests/io/raw_server.h
@@ -17,6 +17,7 @@
         bool closeAfter = false; // the end of the connection marks the end of the answer
         std::string endless {}; // sent after `bytes` again and again, until the other side closes the connection
         std::chrono::milliseconds endlessInterval {}; // between two pieces of `endless`
+        bool resetAfter = false; // the connection is reset once the bytes have had time to arrive
     };
 
     explicit RawServer(std::map<std::string, Answer> fixedAnswers)
@@ -61,11 +62,21 @@
             co_await boost::asio::async_write(socket, boost::asio::buffer(answer.bytes), boost::asio::use_awaitable);
             if (answer.closeAfter)
                 co_return;
+            if (answer.resetAfter)
+                co_return co_await this->reset(socket);
             if (!answer.endless.empty())
                 co_await this->sendEndless(socket, answer);
         }
     }
 
+    boost::asio::awaitable<void> reset(Socket& socket)
+    {
+        boost::asio::steady_timer timer(this->context, std::chrono::milliseconds(5));
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        socket.set_option(boost::asio::socket_base::linger(true, 0));
+        socket.close();
+    }
+
     // Returns, by an exception, once the other side has closed the connection.
     boost::asio::awaitable<void> sendEndless(Socket& socket, const Answer& answer)
     {
