--- a/tests/io/process.h
+++ b/tests/io/process.h
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <ctime>
+#include <fcntl.h>
 #include <fstream>
 #include <optional>
 #include <poll.h>
@@ -13,20 +14,23 @@
 
 namespace cranberryshed::test {
 
-// A child process that runs the program under test. Its standard output and standard error are read through a pipe.
+// A child process that runs the program under test. Its standard output and standard error are read through a pipe, or
+// appended to a file if one is named.
 class Process {
 public:
-    explicit Process(const std::vector<std::string>& arguments)
+    explicit Process(const std::vector<std::string>& arguments, const std::string& outputFile = {})
     {
         int ends[2] = {};
         if (::pipe(ends) != 0)
             std::abort();
         this->child = ::fork();
         if (this->child == 0) {
+            if (!outputFile.empty())
+                ends[1] = ::open(outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(ends[1], STDOUT_FILENO);
             ::dup2(ends[1], STDERR_FILENO);
-            ::close(ends[0]);
-            ::close(ends[1]);
+            // Without this, the sockets of this process stay open in the child after this process has closed them.
+            ::close_range(STDERR_FILENO + 1, ~0U, 0);
             std::vector<char*> list { const_cast<char*>(PROGRAM) };
             for (const std::string& argument : arguments)
                 list.push_back(const_cast<char*>(argument.c_str()));
--- a/tests/io/vm_process.h
+++ b/tests/io/vm_process.h
@@ -11,6 +11,7 @@
     std::vector<std::string> peers; // addresses of the VMs to join through
     std::string storeAddress {}; // empty: that of the fixture's store
     std::string logLevel = "info"; // with "error", decisions are not logged either
+    std::string logFile {}; // to which the log is appended; empty: it is read by logUntil()
     double retryShare = 0.2; // extra attempts per request, over all VMs
     double retrySlack = 50; // further extra attempts per window, over all VMs
     std::chrono::milliseconds changesWithin = std::chrono::seconds(2); // bound of configurations and leaving servers
@@ -24,11 +25,12 @@
         , readiness(fixture.freeAddress())
         , admin(fixture.freeAddress())
         , settings(this->settingsText(fixture, options))
+        , logFile(options.logFile)
     {
         this->start();
     }
 
-    void start() { this->process = std::make_unique<Process>(std::vector<std::string> { "serve", "--settings", this->settings.path() }); }
+    void start() { this->process = std::make_unique<Process>(std::vector<std::string> { "serve", "--settings", this->settings.path() }, this->logFile); }
 
     // Kills the process and starts another one.
     void restart()
@@ -79,6 +81,7 @@
     }
 
     TemporaryFile settings;
+    std::string logFile;
     std::unique_ptr<Process> process;
 };
 
