Bound the gains of all regions together, also for VMs with many requests

The region's own share rose by 0.10 a second, from 0.33 to 0.85 in 5 s.

Cause: each region's share of the reference was moved by at most 0.05 a second on its own.

Ruled out: a region plan that counts cold servers (the platform uses none), and objects that turn warm at once (they do, but the reference follows at its rate).

--- a/src/request/region_share_limiter.cpp
+++ b/src/request/region_share_limiter.cpp
@@ -29,16 +29,17 @@
         std::ranges::transform(service.counted, service.reference.begin(), [&](double count) { return count / service.total; });
 }
 
-// Moves the reference towards the preferred shares.
+// Moves the reference towards the preferred shares. All regions that gain together gain at most `maxStep`, so the sum of
+// the shares stays 1: with less, no region would have room and the cheapest one would get the rest.
 void RegionShareLimiter::moveReference(Service& service, double maxStep) const
 {
     double gained = 0;
     for (std::size_t i = 0; i < service.reference.size(); ++i)
         gained += std::max(0.0, service.preferred[i] - service.reference[i]);
     service.isSettled |= gained <= this->options.settledGap && service.updatedAt - service.startedAt >= this->options.startPeriod;
-    const double factor = this->usesCredit(service) && gained > maxStep ? maxStep / gained : 1;
+    const double factor = gained > maxStep ? maxStep / gained : 1;
     for (std::size_t i = 0; i < service.reference.size(); ++i)
-        service.reference[i] += std::clamp(factor * (service.preferred[i] - service.reference[i]), -maxStep, maxStep);
+        service.reference[i] += factor * (service.preferred[i] - service.reference[i]);
 }
 
 void RegionShareLimiter::recordPreference(std::uint64_t serviceKey, core::RegionIndex region, const std::vector<double>& initial, core::TimePoint now)
--- a/tests/pure/earliest_answer.cpp
+++ b/tests/pure/earliest_answer.cpp
@@ -354,11 +354,11 @@
 
 // Guards against a jump of a region's share in a large fleet, where each entry VM gets a few requests a second and all
 // see the same at the same time: at the start of traffic the servers are cold, and two seconds later the objects are
-// warm in the callers' own region.
+// warm in the callers' own region. With more requests, two regions must not lose the allowed step each to the third one.
 TEST_CASE("the shares of a fleet of small entry VMs change in bounded steps", "[shift-limit]")
 {
     constexpr std::size_t vmCount = 63;
-    constexpr double requestsPerSecond = 7; // of one entry VM
+    const double requestsPerSecond = GENERATE(7, 20); // of one entry VM
     constexpr double maxShift = 0.15; // of a region's requests, from one window of 2 s to the next
     constexpr std::uint64_t service = 1;
     constexpr std::size_t windowSteps = 20; // of 100 ms
@@ -380,9 +380,12 @@
                 const core::TimePoint at = nextRequest[vm];
                 const core::RegionIndex preferred { at < start + 2s ? anyFarRegion(random) : 0 };
                 limits[vm].recordPreference(service, preferred, initialShares, at);
+                // As EarliestAnswer does: if no region has room, the preferred one is used.
                 core::RegionIndex chosen = preferred;
-                for (std::uint32_t i = 0; i < 3 && !limits[vm].allows(service, chosen, at); ++i)
-                    chosen = core::RegionIndex { i };
+                for (const std::uint32_t region : { 2U, 1U, 0U, preferred.value }) {
+                    if (limits[vm].allows(service, core::RegionIndex { region }, at))
+                        chosen = core::RegionIndex { region };
+                }
                 chosen = limits[vm].regionBehindShare(service, at).value_or(chosen);
                 limits[vm].recordSent(service, chosen, at);
                 sent[chosen.value] += 1;
