Move the reading of HTTP messages and socket options to src/net

The store client can't include src/wire, and src/wire took its socket options from src/store. No behaviour changes.

--- a/src/app/caller.cpp
+++ b/src/app/caller.cpp
@@ -2,10 +2,10 @@
 
 #include "app/server_standin.h"
 #include "core/errors.h"
+#include "net/stream_parser.h"
 #include "wire/clock.h"
 #include "wire/endpoint.h"
 #include "wire/header.h"
-#include "wire/stream_parser.h"
 #include "wire/text_response.h"
 
 namespace cranberryshed::app {
@@ -79,14 +79,14 @@
     reply.sent = written > 0;
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(boost::none);
-    wire::error_code error = co_await wire::parseHeader(connection->stream, connection->buffer, parser);
+    wire::error_code error = co_await net::parseHeader(connection->stream, connection->buffer, parser);
     const std::unique_ptr<char[]> chunk = std::make_unique_for_overwrite<char[]>(readChunkBytes);
     std::uint64_t position = 0;
     while (!error && !parser.is_done()) {
         auto& body = parser.get().body();
         body.data = chunk.get();
         body.size = readChunkBytes;
-        error = co_await wire::parseSome(connection->stream, connection->buffer, parser);
+        error = co_await net::parseSome(connection->stream, connection->buffer, parser);
         if (error == http::error::need_buffer)
             error = {};
         const std::string_view received(chunk.get(), readChunkBytes - body.size);
--- a/src/app/server_standin.cpp
+++ b/src/app/server_standin.cpp
@@ -1,9 +1,9 @@
 #include "app/server_standin.h"
 
+#include "net/stream_parser.h"
 #include "wire/clock.h"
 #include "wire/endpoint.h"
 #include "wire/header.h"
-#include "wire/stream_parser.h"
 #include "wire/text_response.h"
 
 #include <charconv>
@@ -106,11 +106,11 @@
         for (bool isKeptAlive = true; isKeptAlive;) {
             http::request_parser<http::string_body> parser;
             parser.body_limit(maxRequestBodyBytes);
-            error_code error = co_await wire::parseHeader(connection->stream, connection->buffer, parser);
+            error_code error = co_await net::parseHeader(connection->stream, connection->buffer, parser);
             if (!error && wire::beast::iequals(parser.get()[http::field::expect], "100-continue"))
                 co_await asio::async_write(connection->stream, asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25), useResult);
             while (!error && !parser.is_done())
-                error = co_await wire::parseSome(connection->stream, connection->buffer, parser);
+                error = co_await net::parseSome(connection->stream, connection->buffer, parser);
             isKeptAlive = !error && co_await self->answer(*connection, parser.get());
         }
         self->connections.erase(connection);
--- a/src/store/socket_options.h
+++ b/src/net/socket_options.h
@@ -6,7 +6,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-namespace cranberryshed::store {
+namespace cranberryshed::net {
 
 // Sets socket options that close a TCP connection whose other host no longer responds: sent data must be acknowledged
 // within `timeout`, and while no data is in flight, a keep-alive probe is sent each second. Without them, the
--- a/src/wire/stream_parser.h
+++ b/src/net/stream_parser.h
@@ -1,8 +1,16 @@
 #pragma once
 
-#include "wire/asio.h"
+// Reads HTTP messages from a connection piece by piece.
 
-namespace cranberryshed::wire {
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+
+namespace cranberryshed::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
 
 inline constexpr std::size_t readChunkBytes = 16 * 1024; // requested by one read
 
@@ -10,11 +18,19 @@
 // parser itself limits only the header.
 inline constexpr std::size_t maxUnparsedBytes = 256 * 1024;
 
+// The result of a read on a stream of this type.
+template <typename StreamType>
+using ReadTask = asio::awaitable<error_code, typename StreamType::executor_type>;
+
+// Completion token that returns the error code as a value instead of throwing an exception.
+template <typename StreamType>
+inline constexpr auto useResult = asio::as_tuple(asio::use_awaitable_t<typename StreamType::executor_type>());
+
 // Parses the bytes in the buffer and reads from the stream only if the parser needs more. Returns once the parser has
 // made progress: at the end of the header, after a piece of the body, or with an error. The error
 // http::error::need_buffer means that the body's buffer is full and counts as progress.
-template <typename Parser>
-Task<error_code> parseSome(Stream& stream, beast::flat_buffer& buffer, Parser& parser)
+template <typename StreamType, typename Parser>
+ReadTask<StreamType> parseSome(StreamType& stream, beast::flat_buffer& buffer, Parser& parser)
 {
     for (;;) {
         if (buffer.size() > 0) {
@@ -26,7 +42,7 @@
             if (buffer.size() > maxUnparsedBytes)
                 co_return http::error::buffer_overflow;
         }
-        auto [error, count] = co_await stream.async_read_some(buffer.prepare(readChunkBytes), useResult);
+        auto [error, count] = co_await stream.async_read_some(buffer.prepare(readChunkBytes), useResult<StreamType>);
         buffer.commit(count);
         if (error == asio::error::eof) {
             if (!parser.got_some())
@@ -41,8 +57,8 @@
 }
 
 // Reads and parses up to the end of the header.
-template <typename Parser>
-Task<error_code> parseHeader(Stream& stream, beast::flat_buffer& buffer, Parser& parser)
+template <typename StreamType, typename Parser>
+ReadTask<StreamType> parseHeader(StreamType& stream, beast::flat_buffer& buffer, Parser& parser)
 {
     while (!parser.is_header_done()) {
         const error_code error = co_await parseSome(stream, buffer, parser);
--- a/src/store/http_transport.cpp
+++ b/src/store/http_transport.cpp
@@ -1,7 +1,7 @@
 #include "store/http_transport.h"
 
 #include "core/errors.h"
-#include "store/socket_options.h"
+#include "net/socket_options.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -112,7 +112,7 @@
     if (error)
         co_return nullptr;
     connection->stream.socket().set_option(tcp::no_delay(true), error);
-    detectUnresponsiveHost(connection->stream.socket().native_handle(), unresponsiveHostTimeout);
+    net::detectUnresponsiveHost(connection->stream.socket().native_handle(), unresponsiveHostTimeout);
     co_return connection;
 }
 
--- a/src/wire/read_answer.h
+++ b/src/wire/read_answer.h
@@ -3,8 +3,8 @@
 // Reads the answer of a backend server up to the end of its head, and parts of its body. Bounds what a faulty server can
 // send.
 
+#include "net/stream_parser.h"
 #include "wire/dialect.h"
-#include "wire/stream_parser.h"
 #include "wire/worker.h"
 
 #include <charconv>
@@ -31,7 +31,7 @@
         attempt.parser->body_limit(boost::none);
         attempt.hasNoBody = exchange.header.method() == http::verb::head;
         attempt.parser->skip(attempt.hasNoBody);
-        const error_code error = co_await parseHeader(attempt.connection->stream, attempt.connection->buffer, *attempt.parser);
+        const error_code error = co_await net::parseHeader(attempt.connection->stream, attempt.connection->buffer, *attempt.parser);
         if (error || attempt.parser->get().result_int() / 100 != 1)
             co_return error;
     }
@@ -41,14 +41,14 @@
 // Reads and drops the rest of an answer to an earlier request. Returns false if it can't be read or is too large.
 inline Task<bool> skipBody(BackendAttempt& attempt)
 {
-    const std::unique_ptr<char[]> dropped = makeBuffer(readChunkBytes);
+    const std::unique_ptr<char[]> dropped = makeBuffer(net::readChunkBytes);
     std::uint64_t skippedBytes = 0;
     while (!attempt.parser->is_done()) {
         auto& body = attempt.parser->get().body();
         body.data = dropped.get();
-        body.size = readChunkBytes;
-        const error_code error = co_await parseSome(attempt.connection->stream, attempt.connection->buffer, *attempt.parser);
-        skippedBytes += readChunkBytes - body.size;
+        body.size = net::readChunkBytes;
+        const error_code error = co_await net::parseSome(attempt.connection->stream, attempt.connection->buffer, *attempt.parser);
+        skippedBytes += net::readChunkBytes - body.size;
         if ((error && error != http::error::need_buffer) || skippedBytes > maxSkippedBytes)
             co_return false;
     }
@@ -61,12 +61,12 @@
     BackendParser& parser = *attempt.parser;
     while (!parser.is_done() && text.size() < maxBytes) {
         const std::size_t before = text.size();
-        const std::size_t size = std::min(maxBytes - before, std::max<std::size_t>(readChunkBytes, parser.content_length_remaining().value_or(0)));
+        const std::size_t size = std::min(maxBytes - before, std::max<std::size_t>(net::readChunkBytes, parser.content_length_remaining().value_or(0)));
         text.resize(before + size);
         auto& body = parser.get().body();
         body.data = text.data() + before;
         body.size = size;
-        const error_code error = co_await parseSome(attempt.connection->stream, attempt.connection->buffer, parser);
+        const error_code error = co_await net::parseSome(attempt.connection->stream, attempt.connection->buffer, parser);
         text.resize(text.size() - body.size);
         if (error && error != http::error::need_buffer)
             co_return error;
--- a/src/wire/relay_answer.h
+++ b/src/wire/relay_answer.h
@@ -106,7 +106,7 @@
             body.size = chunkSize;
             const core::TimePoint now = steadyNow();
             attempt.connection->stream.expires_after(std::min<core::Duration>(worker.limits().progressTimeout, target.until - now));
-            const error_code readError = co_await parseSome(attempt.connection->stream, attempt.connection->buffer, parser);
+            const error_code readError = co_await net::parseSome(attempt.connection->stream, attempt.connection->buffer, parser);
             if ((readError && readError != http::error::need_buffer) || now >= target.until) {
                 result.attemptResult = attempt.cancelled ? AttemptResult::Cancelled : AttemptResult::Broken;
                 abortCaller(caller, isEndMarked);
--- a/src/wire/session_impl.h
+++ b/src/wire/session_impl.h
@@ -2,6 +2,7 @@
 
 // Caller connections. Each front end includes this file and instantiates serveConnection() with its dialect.
 
+#include "net/stream_parser.h"
 #include "request/fingerprint.h"
 #include "request/match.h"
 #include "wire/clock.h"
@@ -9,7 +10,6 @@
 #include "wire/lookup_response.h"
 #include "wire/request_log.h"
 #include "wire/session.h"
-#include "wire/stream_parser.h"
 #include "wire/text_response.h"
 #include "wire/upstream_impl.h"
 #include "wire/worker.h"
@@ -93,7 +93,7 @@
     {
         this->stream.expires_after(this->worker.limits().idleTimeout);
         if (this->buffer.size() == 0) {
-            auto [error, count] = co_await this->stream.async_read_some(this->buffer.prepare(readChunkBytes), useResult);
+            auto [error, count] = co_await this->stream.async_read_some(this->buffer.prepare(net::readChunkBytes), useResult);
             if (error)
                 co_return error;
             this->buffer.commit(count);
@@ -106,7 +106,7 @@
         if (this->parser->is_header_done())
             co_return error_code();
         this->startReadTimer(this->worker.limits().headerTimeout);
-        const error_code error = co_await parseHeader(this->stream, this->buffer, *this->parser);
+        const error_code error = co_await net::parseHeader(this->stream, this->buffer, *this->parser);
         co_return this->stopReadTimer(error);
     }
 
@@ -187,13 +187,13 @@
         }
         while (!this->parser->is_done() && exchange.bodyPrefix.size() < this->worker.limits().maxReplayBytes) {
             const std::size_t before = exchange.bodyPrefix.size();
-            exchange.bodyPrefix.resize(std::min(before + readChunkBytes, this->worker.limits().maxReplayBytes));
+            exchange.bodyPrefix.resize(std::min(before + net::readChunkBytes, this->worker.limits().maxReplayBytes));
             auto& body = this->parser->get().body();
             body.data = exchange.bodyPrefix.data() + before;
             body.size = exchange.bodyPrefix.size() - before;
             if (this->buffer.size() == 0)
                 this->startReadTimer(this->worker.limits().progressTimeout);
-            const error_code readError = co_await parseSome(this->stream, this->buffer, *this->parser);
+            const error_code readError = co_await net::parseSome(this->stream, this->buffer, *this->parser);
             const error_code error = this->stopReadTimer(readError);
             exchange.bodyPrefix.resize(exchange.bodyPrefix.size() - body.size);
             if (error && error != http::error::need_buffer)
--- a/src/wire/upstream_impl.h
+++ b/src/wire/upstream_impl.h
@@ -3,13 +3,13 @@
 // The backend side of a session: sends a request to a backend server and reads the head of the answer. Included by
 // session_impl.h.
 
-#include "store/socket_options.h"
+#include "net/socket_options.h"
+#include "net/stream_parser.h"
 #include "wire/clock.h"
 #include "wire/dialect.h"
 #include "wire/endpoint.h"
 #include "wire/read_answer.h"
 #include "wire/relay_answer.h"
-#include "wire/stream_parser.h"
 #include "wire/text_response.h"
 #include "wire/worker.h"
 
@@ -50,7 +50,7 @@
     attempt.connectTime = steadyNow() - begin;
     error_code ignored;
     attempt.connection->stream.socket().set_option(tcp::no_delay(true), ignored);
-    store::detectUnresponsiveHost(attempt.connection->stream.socket().native_handle(), worker.limits().unresponsiveHostTimeout);
+    net::detectUnresponsiveHost(attempt.connection->stream.socket().native_handle(), worker.limits().unresponsiveHostTimeout);
     co_return true;
 }
 
@@ -104,7 +104,7 @@
         body.data = chunk.get();
         body.size = worker.limits().relayBufferBytes;
         source.stream.expires_after(worker.limits().progressTimeout);
-        const error_code readError = co_await parseSome(source.stream, source.buffer, *source.parser);
+        const error_code readError = co_await net::parseSome(source.stream, source.buffer, *source.parser);
         if (readError && readError != http::error::need_buffer)
             co_return SendResult::CallerFailed;
         const std::string_view piece(chunk.get(), worker.limits().relayBufferBytes - body.size);
@@ -182,7 +182,7 @@
         head.result = match == AnswerMatch::Refused ? AttemptResult::Refused : AttemptResult::Misdirected;
         exchange.refusedConnections.push_back(attempt.connection->number);
         attempt.connection->stream.expires_after(refusalBodyTimeout);
-        if (!co_await readBody(attempt, attempt.bodyPrefix, readChunkBytes) && attempt.parser->is_done())
+        if (!co_await readBody(attempt, attempt.bodyPrefix, net::readChunkBytes) && attempt.parser->is_done())
             returnToPool(worker, attempt);
         co_return head;
     }
