Take an answer whose status is none for a broken one, in every reader

Cause: Beast's parser takes any three digits for a status, and nothing looked at the number afterwards. RFC 9110, 15, has a client treat a status outside 100 to 599 as a server error. The same parser stood in the store client, the health polls, the dump command and the caller that generates load. They share net::AnswerParser now, which checks the header once it is complete, so that no reader can see an invalid one. An attempt that ends so is broken as any other: 502, may have run, and idempotent requests are sent again.

Ruled out: statuses with fewer or more digits, a sign or a blank; the parser refuses them already. Their cases stay.

The tests failed on the untouched code: 33 of 33 callers got 000, 001, 099, 600 or 999 (30 platform, 3 native), and 20 of 66 checks of the other readers (store client and load). They pass now, with [cut-answers], [endless], [framing], [path] and [platform-path]. The fixture of [cut-answers] moves to raw_fixtures.h and takes an answer without a length that ends with an orderly close for complete, as callers do.

--- a/src/app/caller.cpp
+++ b/src/app/caller.cpp
@@ -2,7 +2,7 @@
 
 #include "app/server_standin.h"
 #include "core/errors.h"
-#include "net/stream_parser.h"
+#include "net/answer_parser.h"
 #include "wire/clock.h"
 #include "wire/endpoint.h"
 #include "wire/header.h"
@@ -77,7 +77,7 @@
     connection->stream.expires_after(this->options.timeout);
     auto [writeError, written] = co_await asio::async_write(connection->stream, asio::buffer(request), useResult);
     reply.sent = written > 0;
-    http::response_parser<http::buffer_body> parser;
+    net::AnswerParser<http::buffer_body> parser;
     parser.body_limit(boost::none);
     wire::error_code error = co_await net::parseHeader(connection->stream, connection->buffer, parser);
     const std::unique_ptr<char[]> chunk = std::make_unique_for_overwrite<char[]>(readChunkBytes);
--- a/src/app/dump_command.cpp
+++ b/src/app/dump_command.cpp
@@ -1,5 +1,6 @@
 #include "app/subcommands.h"
 #include "core/errors.h"
+#include "net/answer_parser.h"
 #include "wire/endpoint.h"
 #include "wire/header.h"
 
@@ -29,9 +30,10 @@
             request.set(http::field::host, address);
             co_await http::async_write(stream, request, wire::asio::use_awaitable);
             wire::beast::flat_buffer buffer;
-            http::response_parser<http::string_body> parser;
+            net::AnswerParser<http::string_body> parser;
             parser.body_limit(maxPageBytes);
-            co_await http::async_read(stream, buffer, parser, wire::asio::use_awaitable);
+            if (const wire::error_code error = co_await net::readAnswer(stream, buffer, parser))
+                throw boost::system::system_error(error);
             result = parser.get().body(); },
             [&](const std::exception_ptr& exception) {
                 if (exception)
--- a/src/app/health_poller.cpp
+++ b/src/app/health_poller.cpp
@@ -1,5 +1,6 @@
 #include "app/health_poller.h"
 
+#include "net/answer_parser.h"
 #include "wire/clock.h"
 #include "wire/endpoint.h"
 #include "wire/header.h"
@@ -70,11 +71,11 @@
         }
         http::request<http::empty_body> request(http::verb::get, pollerOptions.path, 11);
         request.set(http::field::host, this->address);
-        http::response_parser<http::string_body> parser;
+        net::AnswerParser<http::string_body> parser;
         parser.body_limit(maxResponseBytes);
         auto [writeError, written] = co_await http::async_write(this->stream, request, useResult);
         if (!writeError) {
-            auto [readError, count] = co_await http::async_read(this->stream, this->buffer, parser, useResult);
+            const wire::error_code readError = co_await net::readAnswer(this->stream, this->buffer, parser);
             if (!readError) {
                 this->connected = parser.keep_alive();
                 co_return parseHealth(this->name, parser.get(), wire::steadyNow());
--- /dev/null
+++ b/src/net/answer_parser.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "net/stream_parser.h"
+
+namespace cranberryshed::net {
+
+// Checks the complete header of an answer for errors that Beast's parser accepts: a status outside 100 to 599.
+error_code checkAnswerHeader(const http::response_header<>&);
+
+// Parses one HTTP answer. Every reader of answers uses this parser, so that a broken answer counts as one everywhere.
+template <typename Body>
+class AnswerParser : public http::response_parser<Body> {
+public:
+    // Like the parser's own function, which this one hides. Reports an invalid header before any of it can be used.
+    std::size_t put(asio::const_buffer bytes, error_code& error)
+    {
+        const bool wasInHeader = !this->is_header_done();
+        const std::size_t used = http::response_parser<Body>::put(bytes, error);
+        if (wasInHeader && this->is_header_done() && !error)
+            error = checkAnswerHeader(this->get().base());
+        return used;
+    }
+};
+
+// Reads a whole answer. The parser's body must grow by itself, such as a string.
+template <typename StreamType, typename Body>
+ReadTask<StreamType> readAnswer(StreamType& stream, beast::flat_buffer& buffer, AnswerParser<Body>& parser)
+{
+    const error_code headerError = co_await parseHeader(stream, buffer, parser);
+    if (headerError || parser.is_done())
+        co_return headerError;
+    auto [error, count] = co_await http::async_read(stream, buffer, parser, useResult<StreamType>);
+    co_return error;
+}
+
+}
--- a/src/store/http_transport.cpp
+++ b/src/store/http_transport.cpp
@@ -1,6 +1,7 @@
 #include "store/http_transport.h"
 
 #include "core/errors.h"
+#include "net/answer_parser.h"
 #include "net/socket_options.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -154,10 +155,10 @@
     boost::system::error_code error;
     connection.stream.expires_at(deadline);
     co_await http::async_write(connection.stream, message, asio::redirect_error(asio::use_awaitable, error));
-    http::response_parser<http::string_body> parser;
+    net::AnswerParser<http::string_body> parser;
     parser.body_limit(maxResponseBytes);
     if (!error)
-        co_await http::async_read(connection.stream, connection.buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        error = co_await net::readAnswer(connection.stream, connection.buffer, parser);
     if (error)
         co_return HttpResponse { .outcome = ExchangeOutcome::Lost, .status = 0, .body = {} };
     if (!parser.get().keep_alive())
--- a/src/wire/exchange.h
+++ b/src/wire/exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/answer_parser.h"
 #include "request/events.h"
 #include "wire/asio.h"
 #include "wire/connection_pool.h"
@@ -12,7 +13,7 @@
 namespace cranberryshed::wire {
 
 using CallerParser = http::request_parser<http::buffer_body>;
-using BackendParser = http::response_parser<http::buffer_body>;
+using BackendParser = net::AnswerParser<http::buffer_body>;
 
 // One attempt to get an answer from a backend server. Shared by the coroutine that runs the attempt and the exchange.
 struct BackendAttempt {
--- /dev/null
+++ b/tests/io/broken_answers.cpp
@@ -0,0 +1,125 @@
+// Broken answers, as each reader of answers sees them: callers of both interfaces, the store client, health polls and
+// the caller that generates load.
+
+#include "app/caller.h"
+#include "app/health_poller.h"
+#include "raw_fixtures.h"
+#include "store/http_transport.h"
+
+using namespace cranberryshed;
+using namespace cranberryshed::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Answer = RawServer::Answer;
+
+struct BrokenAnswer {
+    std::string name;
+    Answer answer;
+};
+
+// The same answer on a connection that is closed after it, and on one that stays open.
+void addClosedAndOpen(std::vector<BrokenAnswer>& answers, const std::string& name, const std::string& bytes)
+{
+    answers.push_back({ .name = name + ", closed", .answer = { .bytes = bytes, .closeAfter = true } });
+    answers.push_back({ .name = name + ", open", .answer = { .bytes = bytes } });
+}
+
+// Answers whose status is none. `fields` are those of each answer that counts.
+std::vector<BrokenAnswer> answersWithoutStatus(std::string_view fields)
+{
+    std::vector<BrokenAnswer> answers;
+    for (const std::string status : { "000", "001", "099", "600", "999", "20", "2000", "+20", "-20", "2 0", "" })
+        addClosedAndOpen(answers, "status '" + status + "'", "HTTP/1.1 " + status + " OK\r\n" + std::string(fields) + "Content-Length: 2\r\n\r\nok");
+    return answers;
+}
+
+store::ExchangeOutcome storeOutcome(const std::string& address, const std::string& target)
+{
+    asio::io_context context;
+    store::HttpTransport transport(context, address);
+    auto exchange = asio::co_spawn(context, transport.exchange({ .method = store::HttpMethod::Get, .target = target, .body = {} }, transport.now() + 2s), asio::use_future);
+    context.run();
+    return exchange.get().outcome;
+}
+
+bool isHealthy(const std::string& address, const std::string& path)
+{
+    asio::io_context context;
+    bool isHealthy = false;
+    std::optional<app::HealthPoller> poller;
+    poller.emplace(context, app::HealthPoller::Options { .interval = 1ms, .timeout = 1s, .path = path }, [&](const control::HealthReport& report) {
+        isHealthy = report.healthy;
+        poller->setServers({});
+    });
+    poller->setServers({ { "raw", address } });
+    context.run();
+    return isHealthy;
+}
+
+std::string loadOutcome(const std::string& address, const app::RequestTemplate& requestTemplate, const std::string& workId)
+{
+    asio::io_context context;
+    app::Caller caller(context, { .directAddress = address, .maxTries = 1, .timeout = 2s });
+    std::string outcome;
+    asio::co_spawn(
+        context, [&]() -> wire::Task<void> { outcome = (co_await caller.send(requestTemplate, workId)).outcome; }, asio::detached);
+    context.run();
+    return outcome;
+}
+
+// Whether this is the entry VM's own error in place of an answer: the server was asked, and its answer doesn't count. The
+// native interface sends an idempotent request again, which can take until its deadline.
+bool isBrokenAnswerError(const ReceivedAnswer& received)
+{
+    return received.completeStatus() == 502 || received.completeStatus() == 504;
+}
+
+// Asks for each answer with GET, HEAD and an upload.
+template <typename Fixture>
+void checkCallers(const std::vector<BrokenAnswer>& broken)
+{
+    std::map<std::string, Answer> answers;
+    for (std::size_t i = 0; i < broken.size(); ++i) {
+        for (const auto& makeLine : { Fixture::getLine, Fixture::headLine, Fixture::uploadLine })
+            answers.emplace(makeLine(std::to_string(i)), broken[i].answer);
+    }
+    const Fixture fixture(answers);
+    for (const auto& [line, answer] : answers) {
+        const ReceivedAnswer received = fixture.ask(line);
+        INFO(line << " answered with\n"
+                  << answer.bytes << "\ncaller got\n"
+                  << received.answer.head << received.answer.body);
+        CHECK(isBrokenAnswerError(received));
+    }
+}
+
+// Asks for each answer with the store client's transport, a health poll and the caller that generates load.
+void checkOtherReaders(const std::vector<BrokenAnswer>& broken)
+{
+    std::map<std::string, Answer> answers;
+    for (std::size_t i = 0; i < broken.size(); ++i)
+        answers.emplace("GET /" + std::to_string(i), broken[i].answer);
+    const RawServer server(answers);
+    for (std::size_t i = 0; i < broken.size(); ++i) {
+        INFO(broken[i].name);
+        CHECK(storeOutcome(server.address(), "/" + std::to_string(i)) == store::ExchangeOutcome::Lost);
+        CHECK_FALSE(isHealthy(server.address(), "/" + std::to_string(i)));
+        CHECK(loadOutcome(server.address(), { .path = "/" }, std::to_string(i)) == "broken");
+    }
+}
+
+}
+
+// Guards against a status outside 100 to 599 that reaches the caller as an answer.
+TEST_CASE("an answer whose status is none is a failure for the caller", "[broken-answers]")
+{
+    checkCallers<PlatformRawFixture>(answersWithoutStatus(PlatformRawFixture::answerFields));
+    checkCallers<NativeRawFixture>({ answersWithoutStatus(NativeRawFixture::answerFields).front() }); // each takes a second
+}
+
+TEST_CASE("the store client, health polls and the load's caller don't take an answer whose status is none for one", "[broken-answers]")
+{
+    checkOtherReaders(answersWithoutStatus("X-Field: v\r\n"));
+}
--- a/tests/io/cut_answers.cpp
+++ b/tests/io/cut_answers.cpp
@@ -1,9 +1,6 @@
 // Backend servers that end an answer too early: in its head, or in its body.
 
-#include "platform_fixture.h"
-#include "raw_server.h"
-
-#include <catch2/catch.hpp>
+#include "raw_fixtures.h"
 
 using namespace cranberryshed;
 using namespace cranberryshed::test;
@@ -11,8 +8,7 @@
 
 namespace {
 
-const std::string fields = "Request-Id: r\r\nServer-Stamp: s\r\n";
-const std::string wholeAnswer = "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 2\r\n\r\nok";
+const std::string fields(PlatformRawFixture::answerFields);
 
 // Heads of answers, up to the empty line.
 const std::vector<std::string> heads = {
@@ -23,48 +19,6 @@
     "HTTP/1.1 103 Early Hints\r\nX-Hint: a\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 0\r\n\r\n",
 };
 
-// One backend server, whose answers are cut off, and an entry VM.
-class CutFixture {
-public:
-    explicit CutFixture(std::map<std::string, RawServer::Answer> answers)
-        : server(withWholeAnswer(std::move(answers)))
-    {
-        this->fixture.writeServerEntry("i-raw", this->server.address(), "ready");
-        this->callers = this->fixture.startVm("front-1").callers;
-        const auto isServed = [&] { return this->ask("GET /read/whole") == 200; };
-        REQUIRE(timeUntil(isServed, 5s) < 5s);
-    }
-
-    // Returns the status of an answer that looks complete to the caller; 0: it is incomplete or there is none. `line` is
-    // method and target.
-    int ask(const std::string& line)
-    {
-        RawClient client(this->callers);
-        client.send(line + " HTTP/1.1\r\nHost: test\r\nContent-Length: 0\r\nConnection: close\r\nRequest-Id: r\r\nDeadline-Ms: 2000\r\n\r\n");
-        const std::string answer = client.readUntil("no such bytes");
-        const std::size_t headEnd = answer.find("\r\n\r\n");
-        if (headEnd == std::string::npos)
-            return 0;
-        const RawAnswer parsed { .head = answer.substr(0, headEnd + 2) };
-        const std::string body = answer.substr(headEnd + 4);
-        const std::string length = parsed.field("Content-Length");
-        const bool isChunked = parsed.field("Transfer-Encoding") == "chunked";
-        const bool isComplete = line.starts_with("HEAD ") || (isChunked ? body.ends_with("0\r\n\r\n") : !length.empty() && body.size() == std::stoull(length));
-        return isComplete ? parsed.status() : 0;
-    }
-
-private:
-    static std::map<std::string, RawServer::Answer> withWholeAnswer(std::map<std::string, RawServer::Answer> answers)
-    {
-        answers.emplace("GET /read/whole", RawServer::Answer { .bytes = wholeAnswer });
-        return answers;
-    }
-
-    PlatformFixture fixture { 0 };
-    RawServer server;
-    std::string callers;
-};
-
 }
 
 // Guards against an answer that breaks off in its head and reaches the caller as a success with an empty or short body.
@@ -81,12 +35,12 @@
             answers.emplace(lines.back(), RawServer::Answer { .bytes = heads[i].substr(0, length), .closeAfter = !isReset, .resetAfter = isReset });
         }
     }
-    CutFixture fixture(std::move(answers));
+    PlatformRawFixture fixture(std::move(answers));
     for (const std::string& line : lines) {
         if (isKept)
-            REQUIRE(fixture.ask("GET /read/whole") == 200);
+            REQUIRE(fixture.isServed());
         INFO(line << ", reset " << isReset << ", kept connection " << isKept);
-        CHECK(fixture.ask(line) == 502);
+        CHECK(fixture.ask(line).completeStatus() == 502);
     }
 }
 
@@ -108,10 +62,10 @@
         answers.emplace("GET /read/reset" + std::to_string(i), RawServer::Answer { .bytes = cut[i], .resetAfter = true });
     }
     answers.emplace("GET /read/reset-to-eof", RawServer::Answer { .bytes = status + "\r\n" + half, .resetAfter = true });
-    CutFixture fixture(answers);
+    PlatformRawFixture fixture(answers);
     for (const auto& [line, answer] : answers) {
         INFO(line << ", " << size << " bytes");
-        const int complete = fixture.ask(line);
+        const int complete = fixture.ask(line).completeStatus();
         CHECK((complete == 0 || complete == 502));
     }
 }
