Don't take a reset during an upload for the orderly end of an answer

The write of the request meets the reset first, and that call takes the socket's error; the read after it gets the bytes that had arrived and then an end of stream, as after an orderly close. The attempt went on to read after a failed write, because a server may answer early. Both interfaces share this code, and the caller that generates load did the same. The store client, the health polls and the dump command don't read after a failed write; what a pooled connection shows when it is taken out is not kept; a caller's body has a length or chunks.

So after a failed write, an answer whose end only the connection can show counts as broken. Answers with a length or chunks that are whole are still delivered, and a refusal still counts, since its header says all: a test for both. What is lost: an answer without a length that a server ends in good order before it resets the rest of the upload; after the failed write nothing tells the two apart, and 502 promises nothing.

--- a/src/app/caller.cpp
+++ b/src/app/caller.cpp
@@ -80,6 +80,8 @@
     net::AnswerParser<http::buffer_body> parser;
     parser.body_limit(boost::none);
     wire::error_code error = co_await net::parseHeader(connection->stream, connection->buffer, parser);
+    if (!error && net::isEndLost(parser, writeError.failed()))
+        error = http::error::partial_message;
     const std::unique_ptr<char[]> chunk = std::make_unique_for_overwrite<char[]>(readChunkBytes);
     std::uint64_t position = 0;
     while (!error && !parser.is_done()) {
--- a/src/net/answer_parser.h
+++ b/src/net/answer_parser.h
@@ -22,6 +22,14 @@
     }
 };
 
+// Whether only an orderly end of the connection can show that this answer is complete, although a write on the connection
+// has failed. That write has taken the connection's error, so that a reset reads like an orderly end afterwards.
+template <typename Body>
+bool isEndLost(const AnswerParser<Body>& parser, bool hasWriteFailed)
+{
+    return hasWriteFailed && parser.need_eof();
+}
+
 // Reads a whole answer. The parser's body must grow by itself, such as a string.
 template <typename StreamType, typename Body>
 ReadTask<StreamType> readAnswer(StreamType& stream, beast::flat_buffer& buffer, AnswerParser<Body>& parser)
--- a/src/wire/upstream_impl.h
+++ b/src/wire/upstream_impl.h
@@ -186,6 +186,10 @@
             returnToPool(worker, attempt);
         co_return head;
     }
+    if (net::isEndLost(*attempt.parser, sent == SendResult::ServerFailed)) {
+        attempt.failureReason = "the connection failed, so the end of the answer is unknown";
+        co_return endedWith(AttemptResult::Broken);
+    }
     if (DialectType::maxBufferedAnswerBytes > 0) {
         if (const error_code error = co_await readBody(attempt, attempt.bodyPrefix, DialectType::maxBufferedAnswerBytes)) {
             attempt.failureReason = error.message();
--- a/tests/io/broken_answers.cpp
+++ b/tests/io/broken_answers.cpp
@@ -95,6 +95,33 @@
     }
 }
 
+// The pieces of a body that is still being sent when its answer arrives.
+std::vector<std::string> longUpload()
+{
+    return std::vector<std::string>(10, std::string(90'000, 'u'));
+}
+
+// Sends long uploads to a server that answers at once, sends a part of a body without a length and resets the connection
+// after a delay. No caller may take that part for a complete answer.
+template <typename Fixture>
+void checkResetDuringUpload(const std::vector<std::chrono::milliseconds>& delays)
+{
+    std::map<std::string, Answer> answers;
+    for (const std::size_t size : { 0, 5, 3000 }) {
+        for (const std::chrono::milliseconds delay : delays) {
+            const std::string bytes = "HTTP/1.1 200 OK\r\n" + std::string(Fixture::answerFields) + "\r\n" + std::string(size, 'x');
+            answers.emplace(Fixture::uploadLine(std::to_string(size) + "-" + std::to_string(delay.count())), Answer { .bytes = bytes, .resetAfter = true, .resetDelay = delay });
+        }
+    }
+    const Fixture fixture(answers);
+    for (const auto& [line, answer] : answers) {
+        const ReceivedAnswer received = fixture.ask(line, longUpload());
+        INFO(line << "\ncaller got\n"
+                  << received.answer.head);
+        CHECK(isBrokenAnswerError(received));
+    }
+}
+
 // Asks for each answer with the store client's transport, a health poll and the caller that generates load.
 void checkOtherReaders(const std::vector<BrokenAnswer>& broken)
 {
@@ -123,3 +150,36 @@
 {
     checkOtherReaders(answersWithoutStatus("X-Field: v\r\n"));
 }
+
+// Guards against a reset that looks like the orderly end of an answer without a length: the write of the request has
+// taken the connection's error before the answer is read.
+TEST_CASE("an answer without a length that is reset during a long upload doesn't look complete", "[broken-answers]")
+{
+    checkResetDuringUpload<PlatformRawFixture>({ 0ms, 5ms, 60ms });
+    checkResetDuringUpload<NativeRawFixture>({ 5ms }); // each takes a second
+}
+
+// Guards against the same fault in the caller that generates load, which sends each request with one write.
+TEST_CASE("the load's caller doesn't take an answer that is reset during its upload for a complete one", "[broken-answers]")
+{
+    constexpr std::size_t uploadBytes = 16 * 1024 * 1024; // more than the kernel buffers
+    const RawServer server({ { "PUT /work", { .bytes = "HTTP/1.1 200 OK\r\n\r\nwork", .resetAfter = true } } });
+    CHECK(loadOutcome(server.address(), { .method = "PUT", .path = "/", .bodyBytes = uploadBytes }, "work") == "broken");
+}
+
+// Guards against too much caution: an answer whose end is marked, and a refusal, which needs no body, still count after
+// the upload has failed.
+TEST_CASE("a whole early answer and a refusal reach the caller although the connection is reset", "[broken-answers]")
+{
+    const std::string fields(PlatformRawFixture::answerFields);
+    const std::map<std::string, int> statuses = { { "sized", 413 }, { "chunked", 413 }, { "refused", 503 } };
+    const PlatformRawFixture fixture({
+        { "POST /write/sized", { .bytes = "HTTP/1.1 413 Too Large\r\n" + fields + "Content-Length: 2\r\n\r\nno", .resetAfter = true } },
+        { "POST /write/chunked", { .bytes = "HTTP/1.1 413 Too Large\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n", .resetAfter = true } },
+        { "POST /write/refused", { .bytes = "HTTP/1.1 503 Busy\r\nRequest-Id: r\r\nNot-Executed: 1\r\n\r\nno", .resetAfter = true } },
+    });
+    for (const auto& [name, status] : statuses) {
+        INFO(name);
+        CHECK(fixture.ask("POST /write/" + name, longUpload()).completeStatus() == status);
+    }
+}
--- a/tests/io/raw_server.h
+++ b/tests/io/raw_server.h
@@ -18,6 +18,7 @@
         std::string endless {}; // sent after `bytes` again and again, until the other side closes the connection
         std::chrono::milliseconds endlessInterval {}; // between two pieces of `endless`
         bool resetAfter = false; // the connection is reset once the bytes have had time to arrive
+        std::chrono::milliseconds resetDelay { 5 };
     };
 
     explicit RawServer(std::map<std::string, Answer> fixedAnswers)
@@ -63,15 +64,15 @@
             if (answer.closeAfter)
                 co_return;
             if (answer.resetAfter)
-                co_return co_await this->reset(socket);
+                co_return co_await this->reset(socket, answer.resetDelay);
             if (!answer.endless.empty())
                 co_await this->sendEndless(socket, answer);
         }
     }
 
-    boost::asio::awaitable<void> reset(Socket& socket)
+    boost::asio::awaitable<void> reset(Socket& socket, std::chrono::milliseconds delay)
     {
-        boost::asio::steady_timer timer(this->context, std::chrono::milliseconds(5));
+        boost::asio::steady_timer timer(this->context, delay);
         co_await timer.async_wait(boost::asio::use_awaitable);
         socket.set_option(boost::asio::socket_base::linger(true, 0));
         socket.close();
