Take an answer with a folded line in its header for a broken one

It is the blank or tab at the start of a line that passed: the line reached the caller joined to the value of the field before it, such as Server-Stamp, and a Content-Length or Transfer-Encoding in it did not count, so that the body was not the server's.

Cause: Beast's parser joins folded lines (RFC 9112, 5.2) and doesn't tell. The RFC leaves a proxy two ways: 502, or blanks in place of the fold. 502 is taken, because a server in trouble can have meant a field of its own, and the value that the line would be joined to can be one that must not change. It holds in each header, also of interim answers and for HEAD, and in every reader of answers. Requests are not touched.

Handled before, tests kept: a blank, tab or one of the bytes 00, 01, 0b, 1f, 7f, 80 within a name or before its colon got 502 already, also in Content-Length and Transfer-Encoding.

Where the bytes of a header are split between two reads makes no difference: a test at each byte.

--- a/src/net/answer_parser.cpp
+++ b/src/net/answer_parser.cpp
@@ -9,6 +9,11 @@
 
 }
 
+bool hasFoldedLine(std::string_view header)
+{
+    return header.find("\r\n ") != std::string_view::npos || header.find("\r\n\t") != std::string_view::npos;
+}
+
 error_code checkAnswerHeader(const http::response_header<>& header)
 {
     if (header.result_int() < minStatus || header.result_int() > maxStatus)
--- a/src/net/answer_parser.h
+++ b/src/net/answer_parser.h
@@ -2,8 +2,14 @@
 
 #include "net/stream_parser.h"
 
+#include <string_view>
+
 namespace cranberryshed::net {
 
+// Whether a part of a header contains a line that begins with a blank or tab. Beast joins such a line to the one before
+// it (RFC 9112, section 5.2), although its sender can have meant a field of its own, such as Content-Length.
+bool hasFoldedLine(std::string_view header);
+
 // Checks the complete header of an answer for errors that Beast's parser accepts: a status outside 100 to 599.
 error_code checkAnswerHeader(const http::response_header<>&);
 
@@ -16,7 +22,9 @@
     {
         const bool wasInHeader = !this->is_header_done();
         const std::size_t used = http::response_parser<Body>::put(bytes, error);
-        if (wasInHeader && this->is_header_done() && !error)
+        if (wasInHeader && hasFoldedLine({ static_cast<const char*>(bytes.data()), used }))
+            error = http::error::bad_field;
+        else if (wasInHeader && this->is_header_done() && !error)
             error = checkAnswerHeader(this->get().base());
         return used;
     }
--- a/tests/io/broken_answers.cpp
+++ b/tests/io/broken_answers.cpp
@@ -3,6 +3,7 @@
 
 #include "app/caller.h"
 #include "app/health_poller.h"
+#include "net/answer_parser.h"
 #include "raw_fixtures.h"
 #include "store/http_transport.h"
 
@@ -35,6 +36,50 @@
     return answers;
 }
 
+// Answers in whose head the name of a field contains a blank or a control byte: within the name, at its end, and at its
+// start, where the line continues the one before it (RFC 9112, section 5.2).
+std::vector<BrokenAnswer> answersWithBadFieldName(std::string_view fields)
+{
+    using namespace std::string_literals;
+    std::vector<BrokenAnswer> answers;
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string required(fields);
+    const std::string end = "Content-Length: 2\r\n\r\nok";
+    for (const std::string& byte : { " "s, "\t"s, "\0"s, "\x01"s, "\x0b"s, "\x1f"s, "\x7f"s, "\x80"s }) {
+        const std::string label = "byte " + std::to_string(static_cast<unsigned char>(byte.front()));
+        for (const std::string& line : { byte + "X-Odd: v\r\n", "X-O" + byte + "dd: v\r\n", "X-Odd" + byte + ": v\r\n" }) {
+            addClosedAndOpen(answers, label + " in an unknown field", status + required + line + end);
+            addClosedAndOpen(answers, label + " in the first field", status + line + required + end);
+            addClosedAndOpen(answers, label + " in the last field", status + required + "Content-Length: 2\r\n" + line + "\r\nok");
+            answers.push_back({ .name = label + " in an interim answer", .answer = { .bytes = "HTTP/1.1 103 Early Hints\r\nX-Hint: a\r\n" + line + "\r\n" + status + required + end } });
+        }
+        for (const std::string& line : { byte + "Content-Length: 2\r\n", "Content" + byte + "-Length: 2\r\n", "Content-Length" + byte + ": 2\r\n" })
+            addClosedAndOpen(answers, label + " in Content-Length", status + required + line + "\r\nok");
+        for (const std::string& line : { byte + "Transfer-Encoding: chunked\r\n", "Transfer" + byte + "-Encoding: chunked\r\n", "Transfer-Encoding" + byte + ": chunked\r\n" })
+            addClosedAndOpen(answers, label + " in Transfer-Encoding", status + required + line + "\r\n2\r\nok\r\n0\r\n\r\n");
+    }
+    return answers;
+}
+
+std::vector<BrokenAnswer> answersWithBrokenHeader()
+{
+    std::vector<BrokenAnswer> all;
+    for (const std::vector<BrokenAnswer>& answers : { answersWithoutStatus("X-Field: v\r\n"), answersWithBadFieldName("X-Field: v\r\n") })
+        all.insert(all.end(), answers.begin(), answers.end());
+    return all;
+}
+
+// Parses the first piece, and then the rest together with what the parser has not used yet. Returns the last error, or
+// none if the header is complete.
+boost::system::error_code parseInTwoPieces(net::AnswerParser<wire::http::string_body>& parser, std::string_view bytes, std::size_t split)
+{
+    boost::system::error_code error;
+    const std::size_t used = parser.put(asio::buffer(bytes.substr(0, split)), error);
+    if (!parser.is_header_done() && error == wire::http::error::need_more)
+        parser.put(asio::buffer(bytes.substr(used)), error);
+    return error;
+}
+
 store::ExchangeOutcome storeOutcome(const std::string& address, const std::string& target)
 {
     asio::io_context context;
@@ -183,3 +228,34 @@
         CHECK(fixture.ask("POST /write/" + name, longUpload()).completeStatus() == status);
     }
 }
+
+// Guards against a line that is passed on, joined to the field before it or not, and against a body whose length or
+// coding stood in such a line.
+TEST_CASE("an answer with a blank or control byte in the name of a field is a failure for the caller", "[broken-answers]")
+{
+    checkCallers<PlatformRawFixture>(answersWithBadFieldName(PlatformRawFixture::answerFields));
+    checkCallers<NativeRawFixture>({ answersWithBadFieldName(NativeRawFixture::answerFields).front() }); // each takes a second
+}
+
+TEST_CASE("the store client, health polls and the load's caller don't take an answer with a blank or control byte in the name of a field for one", "[broken-answers]")
+{
+    checkOtherReaders(answersWithBadFieldName("X-Field: v\r\n"));
+}
+
+// Guards against a broken header that passes when it arrives in two pieces, wherever it is split.
+TEST_CASE("a broken header is found wherever its bytes are split", "[broken-answers]")
+{
+    const auto isHeaderTaken = [](std::string_view bytes, std::size_t split) {
+        net::AnswerParser<wire::http::string_body> parser;
+        return !parseInTwoPieces(parser, bytes, split).failed();
+    };
+    const std::string whole = "HTTP/1.1 200 OK\r\nX-Field: v\r\nContent-Length: 2\r\n\r\nok";
+    for (std::size_t split = 1; split < whole.size(); ++split)
+        CHECK(isHeaderTaken(whole, split));
+    for (const BrokenAnswer& broken : answersWithBrokenHeader()) {
+        for (std::size_t split = 1; split < broken.answer.bytes.size(); ++split) {
+            INFO(broken.name << ", split after byte " << split);
+            CHECK_FALSE(isHeaderTaken(broken.answer.bytes, split));
+        }
+    }
+}
