Take an answer with a transfer coding other than chunked for a broken one

On a kept connection the request ended at its deadline.

Cause: Beast reads such a body up to the end of the connection, as RFC 9112, 6.3, says, or takes chunked off and leaves the other coding; the answer was then framed anew as if its body had been decoded. No request here asks for a transfer coding (TE is not passed on), so such an answer is broken: 502. The same holds for the store client, health polls and the caller that generates load, and for codings in HTTP/1.0, which has none. Case and empty elements of the list don't matter.

Handled before, cases kept: a length and a coding in either order with chunked, one coding in two fields.

--- a/src/net/answer_parser.h
+++ b/src/net/answer_parser.h
@@ -10,7 +10,8 @@
 // it (RFC 9112, section 5.2), although its sender can have meant a field of its own, such as Content-Length.
 bool hasFoldedLine(std::string_view header);
 
-// Checks the complete header of an answer for errors that Beast's parser accepts: a status outside 100 to 599.
+// Checks the complete header of an answer for errors that Beast's parser accepts: a status outside 100 to 599, and a
+// transfer coding other than chunked, which no request here asks for (RFC 9112, sections 6.1 and 7).
 error_code checkAnswerHeader(const http::response_header<>&);
 
 // Parses one HTTP answer. Every reader of answers uses this parser, so that a broken answer counts as one everywhere.
--- a/tests/io/broken_answers.cpp
+++ b/tests/io/broken_answers.cpp
@@ -61,10 +61,27 @@
     return answers;
 }
 
+// Answers with a transfer coding that was not asked for: what arrives is not the server's body.
+std::vector<BrokenAnswer> answersWithOtherCoding(std::string_view fields)
+{
+    std::vector<BrokenAnswer> answers;
+    const std::string start = "HTTP/1.1 200 OK\r\n" + std::string(fields);
+    const std::string chunks = "\r\n2\r\nok\r\n0\r\n\r\n";
+    for (const std::string coding : { "gzip", "identity", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked;q=1", "\"chunked\"", "" })
+        addClosedAndOpen(answers, "coding '" + coding + "'", start + "Transfer-Encoding: " + coding + "\r\n" + chunks);
+    addClosedAndOpen(answers, "two codings", start + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" + chunks);
+    addClosedAndOpen(answers, "one coding twice", start + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunks);
+    addClosedAndOpen(answers, "a coding and a length", start + "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok");
+    addClosedAndOpen(answers, "a length and a coding", start + "Content-Length: 2\r\nTransfer-Encoding: gzip\r\n\r\nok");
+    addClosedAndOpen(answers, "chunks and a length", start + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n" + chunks);
+    addClosedAndOpen(answers, "chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + std::string(fields) + "Transfer-Encoding: chunked\r\n" + chunks);
+    return answers;
+}
+
 std::vector<BrokenAnswer> answersWithBrokenHeader()
 {
     std::vector<BrokenAnswer> all;
-    for (const std::vector<BrokenAnswer>& answers : { answersWithoutStatus("X-Field: v\r\n"), answersWithBadFieldName("X-Field: v\r\n") })
+    for (const std::vector<BrokenAnswer>& answers : { answersWithoutStatus("X-Field: v\r\n"), answersWithBadFieldName("X-Field: v\r\n"), answersWithOtherCoding("X-Field: v\r\n") })
         all.insert(all.end(), answers.begin(), answers.end());
     return all;
 }
@@ -259,3 +276,32 @@
         }
     }
 }
+
+// Guards against a body that reaches the caller as it was encoded for the connection to the server, as a complete answer.
+TEST_CASE("an answer with a transfer coding other than chunked is a failure for the caller", "[broken-answers]")
+{
+    checkCallers<PlatformRawFixture>(answersWithOtherCoding(PlatformRawFixture::answerFields));
+    checkCallers<NativeRawFixture>({ answersWithOtherCoding(NativeRawFixture::answerFields).front() }); // each takes a second
+}
+
+TEST_CASE("the store client, health polls and the load's caller don't take an answer with a transfer coding other than chunked for one", "[broken-answers]")
+{
+    checkOtherReaders(answersWithOtherCoding("X-Field: v\r\n"));
+}
+
+// Guards against too strict a check: case and empty elements of the list don't matter.
+TEST_CASE("an answer with the coding chunked reaches the caller whichever way it is written", "[broken-answers]")
+{
+    std::map<std::string, Answer> answers;
+    for (const std::string coding : { "chunked", "Chunked", "chunked,", ", chunked", ",chunked , " })
+        answers.emplace(PlatformRawFixture::getLine(std::to_string(answers.size())), Answer { .bytes = "HTTP/1.1 200 OK\r\n" + std::string(PlatformRawFixture::answerFields) + "Transfer-Encoding: " + coding + "\r\n\r\n2\r\nok\r\n0\r\n\r\n" });
+    const PlatformRawFixture fixture(answers);
+    for (const auto& [line, answer] : answers) {
+        const ReceivedAnswer received = fixture.ask(line);
+        INFO(answer.bytes << "\ncaller got\n"
+                          << received.answer.head);
+        CHECK(received.completeStatus() == 200);
+        CHECK(received.answer.field("Transfer-Encoding").empty());
+        CHECK(received.answer.body == "ok");
+    }
+}
