Drop the trailer fields of an answer instead of merging them into its header

Callers of the platform's interface got the fields of a chunked answer's trailer as fields of its header, beside or in place of those that the server had sent there: a second Server-Stamp and Request-Id, or a Content-Encoding, by which the body is not the server's (MIXED). Answers of over 1 MB and the native interface dropped them, as their header had been relayed.

Cause: Beast's parser inserts trailer fields into the same container, and a buffered answer writes its header after its body has been read. RFC 9110, 6.5.1, forbids that merge. AnswerParser leaves them out, so both ways agree.

Handled before, cases kept: a trailer with a blank in a name, a length or a transfer coding ends with 502.

--- a/src/net/answer_parser.h
+++ b/src/net/answer_parser.h
@@ -29,6 +29,16 @@
             error = checkAnswerHeader(this->get().base());
         return used;
     }
+
+private:
+    // Drops the fields of a trailer: they must not be merged into the header (RFC 9110, section 6.5.1), and nothing here
+    // needs them.
+    void on_field_impl(http::field name, beast::string_view nameText, beast::string_view value, error_code& error) override
+    {
+        error = {};
+        if (!this->is_header_done())
+            this->get().insert(name, nameText, value);
+    }
 };
 
 // Whether only an orderly end of the connection can show that this answer is complete, although a write on the connection
--- a/tests/io/broken_answers.cpp
+++ b/tests/io/broken_answers.cpp
@@ -305,3 +305,23 @@
         CHECK(received.answer.body == "ok");
     }
 }
+
+// Guards against trailer fields that reach the caller as if they stood in the header, beside or in place of it.
+TEST_CASE("trailer fields of an answer don't become fields of its header", "[broken-answers]")
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\n" + std::string(PlatformRawFixture::answerFields) + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+    const PlatformRawFixture fixture({
+        { "GET /read/fields", { .bytes = chunked + "Server-Stamp: t\r\nRequest-Id: t\r\nContent-Encoding: gzip\r\nX-Trailer: t\r\nX-Folded: t\r\n X-Odd: t\r\n\r\n" } },
+        { "GET /read/bad", { .bytes = chunked + "X-Tra iler: t\r\n\r\n" } },
+        { "GET /read/length", { .bytes = chunked + "Content-Length: 5\r\n\r\n" } },
+        { "GET /read/coding", { .bytes = chunked + "Transfer-Encoding: gzip\r\n\r\n" } },
+    });
+    const ReceivedAnswer received = fixture.ask("GET /read/fields");
+    INFO(received.answer.head);
+    CHECK(received.completeStatus() == 200);
+    CHECK(received.answer.body == "ok");
+    CHECK(received.answer.field("Server-Stamp") == "s");
+    CHECK(received.answer.head.find(": t") == std::string::npos);
+    for (const std::string name : { "bad", "length", "coding" })
+        CHECK(fixture.ask("GET /read/" + name).completeStatus() == 502);
+}
