Skip interim answers in every reader of answers

With an interim answer (1xx) before the final one, the store client took the interim one for the answer, kept the connection, and gave the final answer to the next call on it, which had asked for something else. Health polls and the caller that generates load ended the poll or request with status 103 in the same way.

Cause: only attempts at backend servers skipped interim answers; the others took the first header for the answer. RFC 9110, 15.2, has a client expect them unasked. The loop moves to net::readFinalHeader, which all readers use, with the bound of eight interim answers that attempts had.

--- a/src/app/caller.cpp
+++ b/src/app/caller.cpp
@@ -77,9 +77,13 @@
     connection->stream.expires_after(this->options.timeout);
     auto [writeError, written] = co_await asio::async_write(connection->stream, asio::buffer(request), useResult);
     reply.sent = written > 0;
-    net::AnswerParser<http::buffer_body> parser;
-    parser.body_limit(boost::none);
-    wire::error_code error = co_await net::parseHeader(connection->stream, connection->buffer, parser);
+    std::optional<net::AnswerParser<http::buffer_body>> finalParser;
+    const auto makeParser = [&]() -> net::AnswerParser<http::buffer_body>& {
+        finalParser.emplace().body_limit(boost::none);
+        return *finalParser;
+    };
+    wire::error_code error = co_await net::readFinalHeader(connection->stream, connection->buffer, makeParser);
+    net::AnswerParser<http::buffer_body>& parser = *finalParser;
     if (!error && net::isEndLost(parser, writeError.failed()))
         error = http::error::partial_message;
     const std::unique_ptr<char[]> chunk = std::make_unique_for_overwrite<char[]>(readChunkBytes);
--- a/src/app/dump_command.cpp
+++ b/src/app/dump_command.cpp
@@ -30,11 +30,10 @@
             request.set(http::field::host, address);
             co_await http::async_write(stream, request, wire::asio::use_awaitable);
             wire::beast::flat_buffer buffer;
-            net::AnswerParser<http::string_body> parser;
-            parser.body_limit(maxPageBytes);
-            if (const wire::error_code error = co_await net::readAnswer(stream, buffer, parser))
+            std::optional<net::AnswerParser<http::string_body>> parser;
+            if (const wire::error_code error = co_await net::readAnswer(stream, buffer, parser, maxPageBytes))
                 throw boost::system::system_error(error);
-            result = parser.get().body(); },
+            result = parser->get().body(); },
             [&](const std::exception_ptr& exception) {
                 if (exception)
                     std::rethrow_exception(exception);
--- a/src/app/health_poller.cpp
+++ b/src/app/health_poller.cpp
@@ -71,14 +71,13 @@
         }
         http::request<http::empty_body> request(http::verb::get, pollerOptions.path, 11);
         request.set(http::field::host, this->address);
-        net::AnswerParser<http::string_body> parser;
-        parser.body_limit(maxResponseBytes);
+        std::optional<net::AnswerParser<http::string_body>> parser;
         auto [writeError, written] = co_await http::async_write(this->stream, request, useResult);
         if (!writeError) {
-            const wire::error_code readError = co_await net::readAnswer(this->stream, this->buffer, parser);
+            const wire::error_code readError = co_await net::readAnswer(this->stream, this->buffer, parser, maxResponseBytes);
             if (!readError) {
-                this->connected = parser.keep_alive();
-                co_return parseHealth(this->name, parser.get(), wire::steadyNow());
+                this->connected = parser->keep_alive();
+                co_return parseHealth(this->name, parser->get(), wire::steadyNow());
             }
         }
         this->connected = false;
--- a/src/net/answer_parser.h
+++ b/src/net/answer_parser.h
@@ -2,10 +2,14 @@
 
 #include "net/stream_parser.h"
 
+#include <optional>
 #include <string_view>
 
 namespace cranberryshed::net {
 
+// A server can send interim answers (1xx) without end. With more before one final answer, the answer counts as broken.
+inline constexpr int maxInterimAnswers = 8;
+
 // Whether a part of a header contains a line that begins with a blank or tab. Beast joins such a line to the one before
 // it (RFC 9112, section 5.2), although its sender can have meant a field of its own, such as Content-Length.
 bool hasFoldedLine(std::string_view header);
@@ -49,14 +53,32 @@
     return hasWriteFailed && parser.need_eof();
 }
 
-// Reads a whole answer. The parser's body must grow by itself, such as a string.
+// Reads up to the end of the next header that is not of an interim answer (1xx). `makeParser` returns a reference to a
+// new parser for each header.
+template <typename StreamType, typename MakeParser>
+ReadTask<StreamType> readFinalHeader(StreamType& stream, beast::flat_buffer& buffer, MakeParser makeParser)
+{
+    for (int i = 0; i <= maxInterimAnswers; ++i) {
+        auto& parser = makeParser();
+        const error_code error = co_await parseHeader(stream, buffer, parser);
+        if (error || parser.get().result_int() / 100 != 1)
+            co_return error;
+    }
+    co_return http::error::bad_status;
+}
+
+// Reads a whole answer into `parser`. Its body must grow by itself, such as a string.
 template <typename StreamType, typename Body>
-ReadTask<StreamType> readAnswer(StreamType& stream, beast::flat_buffer& buffer, AnswerParser<Body>& parser)
+ReadTask<StreamType> readAnswer(StreamType& stream, beast::flat_buffer& buffer, std::optional<AnswerParser<Body>>& parser, std::uint64_t maxBodyBytes)
 {
-    const error_code headerError = co_await parseHeader(stream, buffer, parser);
-    if (headerError || parser.is_done())
+    const auto makeParser = [&]() -> AnswerParser<Body>& {
+        parser.emplace().body_limit(maxBodyBytes);
+        return *parser;
+    };
+    const error_code headerError = co_await readFinalHeader(stream, buffer, makeParser);
+    if (headerError || parser->is_done())
         co_return headerError;
-    auto [error, count] = co_await http::async_read(stream, buffer, parser, useResult<StreamType>);
+    auto [error, count] = co_await http::async_read(stream, buffer, *parser, useResult<StreamType>);
     co_return error;
 }
 
--- a/src/store/http_transport.cpp
+++ b/src/store/http_transport.cpp
@@ -155,15 +155,14 @@
     boost::system::error_code error;
     connection.stream.expires_at(deadline);
     co_await http::async_write(connection.stream, message, asio::redirect_error(asio::use_awaitable, error));
-    net::AnswerParser<http::string_body> parser;
-    parser.body_limit(maxResponseBytes);
+    std::optional<net::AnswerParser<http::string_body>> parser;
     if (!error)
-        error = co_await net::readAnswer(connection.stream, connection.buffer, parser);
+        error = co_await net::readAnswer(connection.stream, connection.buffer, parser, maxResponseBytes);
     if (error)
         co_return HttpResponse { .outcome = ExchangeOutcome::Lost, .status = 0, .body = {} };
-    if (!parser.get().keep_alive())
+    if (!parser->get().keep_alive())
         connection.stream.close();
-    co_return HttpResponse { .outcome = ExchangeOutcome::Answered, .status = parser.get().result_int(), .body = std::move(parser.get().body()) };
+    co_return HttpResponse { .outcome = ExchangeOutcome::Answered, .status = parser->get().result_int(), .body = std::move(parser->get().body()) };
 }
 
 void HttpTransport::keepIdle(const std::shared_ptr<Connection>& connection)
--- a/src/wire/read_answer.h
+++ b/src/wire/read_answer.h
@@ -3,7 +3,7 @@
 // Reads the answer of a backend server up to the end of its head, and parts of its body. Bounds what a faulty server can
 // send.
 
-#include "net/stream_parser.h"
+#include "net/answer_parser.h"
 #include "wire/dialect.h"
 #include "wire/worker.h"
 
@@ -19,23 +19,20 @@
 // A server can send bytes that are no answer without end. Beyond these bounds, the attempt counts as broken.
 inline constexpr int maxSkippedAnswers = 4; // answers to earlier requests before the answer to this one
 inline constexpr std::uint64_t maxSkippedBytes = 1024 * 1024; // of the body of an answer to an earlier request
-inline constexpr int maxInterimAnswers = 8; // 1xx, before one final answer
 // For the body of a refusal, which is read only so that its connection can be used again.
 inline constexpr core::Duration refusalBodyTimeout = std::chrono::milliseconds(100);
 
 // Reads up to the end of the next head that is not an interim answer (1xx).
 inline Task<error_code> readFinalHead(Exchange& exchange, BackendAttempt& attempt)
 {
-    for (int i = 0; i <= maxInterimAnswers; ++i) {
+    attempt.hasNoBody = exchange.header.method() == http::verb::head;
+    const auto makeParser = [&]() -> BackendParser& {
         attempt.parser = std::make_unique<BackendParser>();
         attempt.parser->body_limit(boost::none);
-        attempt.hasNoBody = exchange.header.method() == http::verb::head;
         attempt.parser->skip(attempt.hasNoBody);
-        const error_code error = co_await net::parseHeader(attempt.connection->stream, attempt.connection->buffer, *attempt.parser);
-        if (error || attempt.parser->get().result_int() / 100 != 1)
-            co_return error;
-    }
-    co_return http::error::bad_status;
+        return *attempt.parser;
+    };
+    co_return co_await net::readFinalHeader(attempt.connection->stream, attempt.connection->buffer, makeParser);
 }
 
 // Reads and drops the rest of an answer to an earlier request. Returns false if it can't be read or is too large.
--- a/tests/io/broken_answers.cpp
+++ b/tests/io/broken_answers.cpp
@@ -97,13 +97,20 @@
     return error;
 }
 
+// Sends a GET with the store client's transport.
+store::HttpResponse ask(asio::io_context& context, store::HttpTransport& transport, const std::string& target)
+{
+    auto exchange = asio::co_spawn(context, transport.exchange({ .method = store::HttpMethod::Get, .target = target, .body = {} }, transport.now() + 2s), asio::use_future);
+    context.restart();
+    context.run();
+    return exchange.get();
+}
+
 store::ExchangeOutcome storeOutcome(const std::string& address, const std::string& target)
 {
     asio::io_context context;
     store::HttpTransport transport(context, address);
-    auto exchange = asio::co_spawn(context, transport.exchange({ .method = store::HttpMethod::Get, .target = target, .body = {} }, transport.now() + 2s), asio::use_future);
-    context.run();
-    return exchange.get().outcome;
+    return ask(context, transport, target).outcome;
 }
 
 bool isHealthy(const std::string& address, const std::string& path)
@@ -325,3 +332,23 @@
     for (const std::string name : { "bad", "length", "coding" })
         CHECK(fixture.ask("GET /read/" + name).completeStatus() == 502);
 }
+
+// Guards against an interim answer that is taken for the final one, which the next call on the connection then takes for
+// its own.
+TEST_CASE("the store client, health polls and the load's caller skip interim answers", "[broken-answers]")
+{
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    const RawServer server({
+        { "GET /first", { .bytes = interim + "HTTP/1.1 200 OK\r\nX-Work-Id: first\r\nContent-Length: 5\r\n\r\nfirst" } },
+        { "GET /second", { .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond" } },
+    });
+    asio::io_context context;
+    store::HttpTransport transport(context, server.address());
+    for (const std::string name : { "first", "second" }) {
+        const store::HttpResponse response = ask(context, transport, "/" + name);
+        CHECK(response.status == 200);
+        CHECK(response.body == name);
+    }
+    CHECK(isHealthy(server.address(), "/first"));
+    CHECK(loadOutcome(server.address(), { .path = "/" }, "first") == "200");
+}
