--- a/src/app/caller.cpp
+++ b/src/app/caller.cpp
@@ -84,7 +84,7 @@
     };
     wire::error_code error = co_await net::readFinalHeader(connection->stream, connection->buffer, makeParser);
     net::AnswerParser<http::buffer_body>& parser = *finalParser;
-    if (!error && net::isEndLost(parser, writeError.failed()))
+    if (!error && net::isEndUnknown(parser, writeError.failed()))
         error = http::error::partial_message;
     const std::unique_ptr<char[]> chunk = std::make_unique_for_overwrite<char[]>(readChunkBytes);
     std::uint64_t position = 0;
--- a/src/net/answer_parser.cpp
+++ b/src/net/answer_parser.cpp
@@ -1,5 +1,7 @@
 #include "net/answer_parser.h"
 
+#include <iterator>
+
 namespace cranberryshed::net {
 
 namespace {
--- a/src/net/answer_parser.h
+++ b/src/net/answer_parser.h
@@ -45,10 +45,10 @@
     }
 };
 
-// Whether only an orderly end of the connection can show that this answer is complete, although a write on the connection
-// has failed. That write has taken the connection's error, so that a reset reads like an orderly end afterwards.
+// Whether nothing can show that this answer is complete: its body ends with the connection, and a write on the connection
+// has failed. That write has taken the socket's error, so that a reset reads like an orderly end afterwards.
 template <typename Body>
-bool isEndLost(const AnswerParser<Body>& parser, bool hasWriteFailed)
+bool isEndUnknown(const AnswerParser<Body>& parser, bool hasWriteFailed)
 {
     return hasWriteFailed && parser.need_eof();
 }
--- a/src/wire/upstream_impl.h
+++ b/src/wire/upstream_impl.h
@@ -186,7 +186,7 @@
             returnToPool(worker, attempt);
         co_return head;
     }
-    if (net::isEndLost(*attempt.parser, sent == SendResult::ServerFailed)) {
+    if (net::isEndUnknown(*attempt.parser, sent == SendResult::ServerFailed)) {
         attempt.failureReason = "the connection failed, so the end of the answer is unknown";
         co_return endedWith(AttemptResult::Broken);
     }
