--- a/tests/io/broken_answers.cpp
+++ b/tests/io/broken_answers.cpp
@@ -20,6 +20,14 @@
     Answer answer;
 };
 
+std::string joined(std::initializer_list<std::string_view> parts)
+{
+    std::string text;
+    for (const std::string_view part : parts)
+        text += part;
+    return text;
+}
+
 // The same answer on a connection that is closed after it, and on one that stays open.
 void addClosedAndOpen(std::vector<BrokenAnswer>& answers, const std::string& name, const std::string& bytes)
 {
@@ -48,15 +56,15 @@
     for (const std::string& byte : { " "s, "\t"s, "\0"s, "\x01"s, "\x0b"s, "\x1f"s, "\x7f"s, "\x80"s }) {
         const std::string label = "byte " + std::to_string(static_cast<unsigned char>(byte.front()));
         for (const std::string& line : { byte + "X-Odd: v\r\n", "X-O" + byte + "dd: v\r\n", "X-Odd" + byte + ": v\r\n" }) {
-            addClosedAndOpen(answers, label + " in an unknown field", status + required + line + end);
-            addClosedAndOpen(answers, label + " in the first field", status + line + required + end);
-            addClosedAndOpen(answers, label + " in the last field", status + required + "Content-Length: 2\r\n" + line + "\r\nok");
-            answers.push_back({ .name = label + " in an interim answer", .answer = { .bytes = "HTTP/1.1 103 Early Hints\r\nX-Hint: a\r\n" + line + "\r\n" + status + required + end } });
+            addClosedAndOpen(answers, label + " in an unknown field", joined({ status, required, line, end }));
+            addClosedAndOpen(answers, label + " in the first field", joined({ status, line, required, end }));
+            addClosedAndOpen(answers, label + " in the last field", joined({ status, required, "Content-Length: 2\r\n", line, "\r\nok" }));
+            answers.push_back({ .name = label + " in an interim answer", .answer = { .bytes = joined({ "HTTP/1.1 103 Early Hints\r\nX-Hint: a\r\n", line, "\r\n", status, required, end }) } });
         }
         for (const std::string& line : { byte + "Content-Length: 2\r\n", "Content" + byte + "-Length: 2\r\n", "Content-Length" + byte + ": 2\r\n" })
-            addClosedAndOpen(answers, label + " in Content-Length", status + required + line + "\r\nok");
+            addClosedAndOpen(answers, label + " in Content-Length", joined({ status, required, line, "\r\nok" }));
         for (const std::string& line : { byte + "Transfer-Encoding: chunked\r\n", "Transfer" + byte + "-Encoding: chunked\r\n", "Transfer-Encoding" + byte + ": chunked\r\n" })
-            addClosedAndOpen(answers, label + " in Transfer-Encoding", status + required + line + "\r\n2\r\nok\r\n0\r\n\r\n");
+            addClosedAndOpen(answers, label + " in Transfer-Encoding", joined({ status, required, line, "\r\n2\r\nok\r\n0\r\n\r\n" }));
     }
     return answers;
 }
@@ -68,7 +76,7 @@
     const std::string start = "HTTP/1.1 200 OK\r\n" + std::string(fields);
     const std::string chunks = "\r\n2\r\nok\r\n0\r\n\r\n";
     for (const std::string coding : { "gzip", "identity", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked;q=1", "\"chunked\"", "" })
-        addClosedAndOpen(answers, "coding '" + coding + "'", start + "Transfer-Encoding: " + coding + "\r\n" + chunks);
+        addClosedAndOpen(answers, "coding '" + coding + "'", joined({ start, "Transfer-Encoding: ", coding, "\r\n", chunks }));
     addClosedAndOpen(answers, "two codings", start + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" + chunks);
     addClosedAndOpen(answers, "one coding twice", start + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n" + chunks);
     addClosedAndOpen(answers, "a coding and a length", start + "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok");
