--- a/tests/io/broken_answers.cpp
+++ b/tests/io/broken_answers.cpp
@@ -339,6 +339,11 @@
     CHECK(received.answer.head.find(": t") == std::string::npos);
     for (const std::string name : { "bad", "length", "coding" })
         CHECK(fixture.ask("GET /read/" + name).completeStatus() == 502);
+    // The whole answer has been parsed before its header is relayed, although the native interface does not buffer.
+    const NativeRawFixture native({ { "GET /stock/empty", { .bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: t\r\n\r\n" } } });
+    const ReceivedAnswer empty = native.ask("GET /stock/empty");
+    CHECK(empty.completeStatus() == 200);
+    CHECK(empty.answer.field("X-Trailer").empty());
 }
 
 // Guards against an interim answer that is taken for the final one, which the next call on the connection then takes for
