Log each state of an object that the store reports and a VM turns down

In the users' record, VMs keep one version for 14.7 s while later ones are acknowledged. The logs don't tell whether the VMs never got the later objects (a dead watch, late peers) or got them and took them for older ones. The event object-ignored names the reported revision and the one that is known. Only a strictly older state is logged, so a list that repeats what is known writes nothing; routine lines are limited to 20 a second as usual.

--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -135,8 +135,11 @@
 {
     this->heldRemovals.erase(object.name);
     const auto [known, added] = this->knownVersions.try_emplace(object.name, object.version);
-    if (!added && known->second >= object.version)
+    if (!added && known->second >= object.version) {
+        if (known->second > object.version)
+            this->ignored.push_back({ .name = std::move(object.name), .reported = object.version, .known = known->second });
         return;
+    }
     known->second = object.version;
     accepted.push_back(std::move(object));
 }
@@ -144,8 +147,10 @@
 void ObjectWatcher::applyRemoval(core::Object object, core::TimePoint now, std::vector<core::Object>& accepted)
 {
     const auto known = this->knownVersions.find(object.name);
-    if (known != this->knownVersions.end() && known->second > object.version)
+    if (known != this->knownVersions.end() && known->second > object.version) {
+        this->ignored.push_back({ .name = std::move(object.name), .reported = object.version, .known = known->second });
         return;
+    }
     if (now < this->holdRemovalsUntil) {
         const std::string name = object.name;
         this->heldRemovals.try_emplace(name, HeldRemoval { .object = std::move(object), .until = this->holdRemovalsUntil });
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cranberryshed::store {
@@ -26,6 +27,13 @@
     core::Duration answerTimeout {}; // of a watch: for the answer, after `wait`
 };
 
+// A state of an object that the store reported although a newer one is known.
+struct IgnoredState {
+    std::string name;
+    core::ObjectVersion reported;
+    core::ObjectVersion known;
+};
+
 // What the fleet knows of the objects of a kind, as this member sees it.
 struct FleetKnowledge {
     std::size_t rank = 0; // of this member in the order in which members ask the store for the fleet
@@ -99,6 +107,9 @@
     std::vector<core::Object> releaseHeldRemovals(core::TimePoint now);
     std::optional<core::TimePoint> nextReleaseTime() const;
 
+    // Returns the states that were turned down since the last call of this function.
+    std::vector<IgnoredState> takeIgnored() { return std::exchange(this->ignored, {}); }
+
     // Whether a list has been read and the last call succeeded.
     bool isSynced() const { return this->failures == 0 && this->reachedVersion.has_value(); }
     // When the store last answered a call with its newest state; empty: never. Between two answers of watches, a change
@@ -126,6 +137,7 @@
     std::optional<std::uint64_t> reachedVersion; // store version up to which all changes were seen
     std::map<std::string, core::ObjectVersion> knownVersions; // of existing objects, by name
     std::map<std::string, HeldRemoval> heldRemovals; // by object name
+    std::vector<IgnoredState> ignored;
     std::optional<core::TimePoint> lastConfirmation;
     WatcherCallKind lastAnsweredCall = WatcherCallKind::List;
     std::uint64_t lastChangedRevision = 0;
--- a/src/wire/event_log.h
+++ b/src/wire/event_log.h
@@ -20,6 +20,7 @@
     Reload,
     DependencyLost,
     DependencyRegained,
+    ObjectIgnored, // an object that the store reported was turned down, because a newer state of it is known
     WatchReplaced, // a pending watch of the store was given up, because other members know more or nobody has news
     Configuration, // another configuration is in force
     ServerState, // a backend server was added, changed its state or was removed
@@ -60,6 +61,9 @@
     KnowledgeAgeMs, // since the store last confirmed that the configuration in force is the newest; -1: unknown
     Source, // of a new configuration
     Revision, // of an object in the store
+    KnownRevision, // of the state of an object that is known already
+    Kind, // of an object in the store
+    Name, // of an object in the store
     Reason,
     Dropped, // lines of this event left out by the rate limit since its previous line, and lines of any event that the
              // output did not accept since the previous line
@@ -69,12 +73,12 @@
 
 template <>
 struct cranberryshed::core::Names<cranberryshed::wire::LogEvent> {
-    static constexpr std::array<std::string_view, 15> values = { "start", "stop", "reload", "dependency-lost", "dependency-regained", "watch-replaced", "configuration", "server-state", "member-state", "evacuation", "sent", "attempt-ended", "answered", "refused", "caller-gone" };
+    static constexpr std::array<std::string_view, 16> values = { "start", "stop", "reload", "dependency-lost", "dependency-regained", "object-ignored", "watch-replaced", "configuration", "server-state", "member-state", "evacuation", "sent", "attempt-ended", "answered", "refused", "caller-gone" };
 };
 
 template <>
 struct cranberryshed::core::Names<cranberryshed::wire::LogField> {
-    static constexpr std::array<std::string_view, 28> values = { "request", "class", "object", "server", "domain", "member", "state", "result", "status", "error", "attempt", "elapsedMs", "leftMs", "waitedMs", "inFlight", "others", "expectedMs", "warm", "ageMs", "retryAfterMs", "version", "table", "tableAgeMs", "knowledgeAgeMs", "source", "revision", "reason", "dropped" };
+    static constexpr std::array<std::string_view, 31> values = { "request", "class", "object", "server", "domain", "member", "state", "result", "status", "error", "attempt", "elapsedMs", "leftMs", "waitedMs", "inFlight", "others", "expectedMs", "warm", "ageMs", "retryAfterMs", "version", "table", "tableAgeMs", "knowledgeAgeMs", "source", "revision", "knownRevision", "kind", "name", "reason", "dropped" };
 };
 
 namespace cranberryshed::wire {
