--- a/tests/io/store_standin.cpp
+++ b/tests/io/store_standin.cpp
@@ -1,4 +1,5 @@
 #include "core/errors.h"
+#include "io/platform_fixture.h"
 #include "io/store_fixture.h"
 
 #include <boost/asio/detached.hpp>
@@ -9,6 +10,7 @@
 namespace core = cranberryshed::core;
 namespace platform = cranberryshed::platform;
 namespace store = cranberryshed::store;
+namespace test = cranberryshed::test;
 using cranberryshed::tests::StoreFixture;
 
 namespace {
@@ -205,3 +207,44 @@
     CHECK(control("{").status == 400);
     CHECK(control("").body.find(R"("get":0)") != std::string::npos);
 }
+
+// Guards against a stand-in that states no era in some answers, such as those that refuse a call, or doesn't begin a new
+// one in one of the ways to restore a copy. Faults of the era couldn't be tested with it.
+TEST_CASE("every answer of the stand-in states the era", "[standin]")
+{
+    test::PlatformFixture fixture(0);
+    platform::StoreStandIn& standIn = fixture.store;
+    test::RawClient client(standIn.endpoint());
+    const auto check = [&](const std::string& request, int status, const std::string& era) {
+        const test::RawAnswer answer = client.ask(request);
+        INFO(request << answer.head);
+        CHECK(answer.status() == status);
+        CHECK(answer.field("Store-Era") == era);
+    };
+    const std::string list = test::get("/api/objects/config");
+    const std::string body = R"({"metadata":{"name":"main"},"spec":{}})";
+    check(list, 200, "1");
+    check(test::get("/api/objects/config?watch=1&wait_ms=1"), 200, "1");
+    check(test::get("/api/objects/config/none"), 404, "1");
+    check(test::get("/none"), 404, "1");
+    check(test::post("/api/objects/config", body), 409, "1");
+    check(test::post("/api/objects/config", "{"), 400, "1");
+    check(test::get("/api/objects/config?watch=99&wait_ms=1"), 410, "1");
+
+    standIn.keepCopy();
+    standIn.createOrReplace("config", "main", "{}");
+    standIn.restoreCopy();
+    check(list, 200, "2");
+    check(test::get("/api/objects/config?watch=2&wait_ms=1"), 410, "2");
+    check("PUT /control HTTP/1.1\r\nContent-Length: 20\r\n\r\n{\"restoreCopy\":true}", 200, "3");
+    check(list, 200, "3");
+
+    standIn.changeFaults([](platform::StoreFaults& faults) { faults.refusesCalls = true; });
+    check(list, 503, "3");
+    standIn.changeFaults([](platform::StoreFaults& faults) { faults = { .limitsCalls = true }; });
+    check(list, 429, "3");
+    standIn.changeFaults([](platform::StoreFaults& faults) { faults = { .eraText = "3x" }; });
+    check(list, 200, "3x");
+    standIn.changeFaults([](platform::StoreFaults& faults) { faults = { .statesEra = false }; });
+    check(list, 200, "");
+}
