--- a/tests/io/platform_fixture.h
+++ b/tests/io/platform_fixture.h
@@ -184,7 +184,7 @@
 
     void writeServerEntry(const std::string& name, const std::string& address, const std::string& state, std::chrono::milliseconds coldLeft = {})
     {
-        this->store.createOrReplace("servers", name, R"({"address":")" + address + R"(","born":1776390940126,"info":{"service":"ledger","version":"v1","zone":"north-1","slots":3},"status":{"state":")" + state + R"(","sequence":)" + std::to_string(++this->lastSequence) + R"(,"cold_left":")" + std::to_string(coldLeft.count()) + R"(ms"}})");
+        this->write("servers", name, R"({"address":")" + address + R"(","born":1776390940126,"info":{"service":"ledger","version":"v1","zone":"north-1","slots":3},"status":{"state":")" + state + R"(","sequence":)" + std::to_string(++this->lastSequence) + R"(,"cold_left":")" + std::to_string(coldLeft.count()) + R"(ms"}})");
     }
 
     // Writes a configuration to the store whose unsafe route has the path prefix `writePath`.
@@ -193,10 +193,21 @@
         const auto route = [](const std::string& name, const std::string& path, const std::string& type) {
             return R"({"resource_kind":"routes","metadata":{"name":")" + name + R"("},"spec":{"host":"test","path_prefix":")" + path + R"(","route_type":")" + type + R"(","timeout":"2s","target_latency":"400ms","priority":1,"service":"ledger","max_attempts":3,"session_affinity":true}},)";
         };
-        this->store.createOrReplace("config", "main", R"({"version":"r)" + std::to_string(version) + R"(","resources":[)" + route("read", "/read/", "safe") + route("write", writePath, "unsafe") + R"({"resource_kind":"services","metadata":{"name":"ledger"},"spec":{"health_path":"/health","max_connections":330,"cold_start":"3s","cold_per_s":6.3}},
+        this->write("config", "main", R"({"version":"r)" + std::to_string(version) + R"(","resources":[)" + route("read", "/read/", "safe") + route("write", writePath, "unsafe") + R"({"resource_kind":"services","metadata":{"name":"ledger"},"spec":{"health_path":"/health","max_connections":330,"cold_start":"3s","cold_per_s":6.3}},
             {"resource_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3s","idle_timeout":"15s"}}]})");
     }
 
+    // Asks VMs to send no more requests to a failure domain, or takes that back.
+    void setEvacuated(const std::string& domain, bool evacuated) { this->write("evacuations", domain, evacuated ? std::optional<std::string>("{}") : std::nullopt); }
+
+    // Writes the last state of each object once more, as its writers do after the store has come back from an old copy.
+    void writeAgain()
+    {
+        const std::scoped_lock lock(this->writing);
+        for (const auto& [key, spec] : this->lastStates)
+            this->apply(key, spec);
+    }
+
     static bool isReady(const Addresses& vm) { return RawClient(vm.readiness).ask(get("/api/ready")).status() == 200; }
 
     static std::string requestFields(const std::string& request) { return "Request-Id: " + request + "\r\nDeadline-Ms: 2000\r\nAffinity-Key: 17\r\n"; }
@@ -219,7 +230,7 @@
         // Test processes that run at the same time have similar ids. The sockets for callers are opened with SO_REUSEPORT,
         // so a port that two of them choose would mix up their requests without an error.
         constexpr unsigned portsPerProcess = 97;
-        static std::uint16_t next = static_cast<std::uint16_t>(static_cast<unsigned>(::getpid()) * portsPerProcess % portCount);
+        static std::atomic<std::uint16_t> next = static_cast<std::uint16_t>(static_cast<unsigned>(::getpid()) * portsPerProcess % portCount);
         for (;;) {
             const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(), firstPort + next++ % portCount);
             asio::ip::tcp::acceptor probe(this->context, endpoint.protocol());
@@ -239,6 +250,27 @@
     std::deque<Addresses> addresses;
 
 private:
+    using ObjectKey = std::pair<std::string, std::string>; // kind and name
+
+    // Writes an object as operators and backend servers do. Without `spec` it is removed.
+    void write(const std::string& kind, const std::string& name, std::optional<std::string> spec)
+    {
+        const std::scoped_lock lock(this->writing);
+        const ObjectKey key { kind, name };
+        this->apply(key, spec);
+        this->lastStates[key] = std::move(spec);
+    }
+
+    void apply(const ObjectKey& key, const std::optional<std::string>& spec)
+    {
+        if (spec)
+            this->store.createOrReplace(key.first, key.second, *spec);
+        else
+            this->store.remove(key.first, key.second);
+    }
+
+    std::mutex writing; // keeps `lastStates` and the store in step
+    std::map<ObjectKey, std::optional<std::string>> lastStates; // empty: removed
     std::atomic<unsigned> lastSequence = 0; // of a server entry; without it, writing an entry again would change nothing
     std::thread thread;
 };
