--- a/src/app/control_loop.h
+++ b/src/app/control_loop.h
@@ -30,6 +30,7 @@
     bool isUp = false; // the store answers; only meaningful if isWatching
     bool isWatching = false; // this entry VM watches the store
     bool holdsStatusLease = false;
+    std::uint64_t era = 0; // how often the store has come back from a copy; 0 if it doesn't state it
     std::vector<WatchState> watches {}; // empty if the feed doesn't track them
 };
 
--- a/src/app/dump.cpp
+++ b/src/app/dump.cpp
@@ -126,7 +126,7 @@
 
     json::object dumpOrigin(const core::ConfigurationOrigin& origin, core::TimePoint now)
     {
-        json::object row { { "source", core::nameOf(origin.source) }, { "peer", origin.peer } };
+        json::object row { { "source", core::nameOf(origin.source) }, { "peer", origin.peer }, { "era", origin.position.era }, { "revision", origin.position.revision } };
         if (origin.confirmedAt)
             row["confirmedAgoMs"] = milliseconds(now - *origin.confirmedAt);
         return row;
@@ -153,6 +153,7 @@
     result["ready"] = static_cast<bool>(table);
     result["storeUp"] = control.store.isUp;
     result["watchesStore"] = control.store.isWatching;
+    result["storeEra"] = control.store.era;
     result["holdsStatusLease"] = control.store.holdsStatusLease;
     result["configurationRevision"] = table ? table->configurationRevision : 0;
     result["watches"] = dumpWatches(control.store.watches);
--- a/src/app/metrics.cpp
+++ b/src/app/metrics.cpp
@@ -107,6 +107,8 @@
     writePeer(out, control.peer.counters());
     writeMetricHeader(out, "store_up", "gauge", "1 while the platform's store answers; only meaningful on a watcher.");
     out << "cranberryshed_store_up " << (control.store.isUp ? 1 : 0) << '\n';
+    writeMetricHeader(out, "store_era", "gauge", "How often the platform's store has come back from a copy, as its answers state it; 0 if they don't.");
+    out << "cranberryshed_store_era " << control.store.era << '\n';
     writeWatches(out, control.store.watches);
     if (control.state.published.table)
         writeTable(out, *control.state.published.table);
--- a/src/core/object.h
+++ b/src/core/object.h
@@ -6,10 +6,11 @@
 
 namespace cranberryshed::core {
 
-// Orders the versions of one object, by revision first. The `apply` command writes a revision above the highest that
-// the store and the members hold, so that a store restored from an old backup cannot revert a target.
+// Orders the versions of one object, by what its writer states first, so that a store that comes back from an older copy
+// can't revert an object. The `apply` command writes a revision above the highest that the store and the members hold.
+// For objects that operators and backend servers write on the users' platform, see object_order.h.
 struct ObjectVersion {
-    std::uint64_t revision = 0; // written into the object by `apply`
+    std::uint64_t revision = 0; // stated by the object's writer
     std::uint64_t version = 0; // assigned by the platform's store
 
     auto operator<=>(const ObjectVersion&) const = default;
--- a/src/core/steering_table.h
+++ b/src/core/steering_table.h
@@ -2,6 +2,7 @@
 
 #include "core/declarations.h"
 #include "core/enums.h"
+#include "core/object_order.h"
 #include "core/slot_counter.h"
 #include "core/types.h"
 
@@ -105,6 +106,7 @@
 struct ConfigurationOrigin {
     ConfigurationSource source = ConfigurationSource::StoreList;
     std::string peer; // name of the entry VM that sent it; empty unless the source is Peer
+    StorePosition position; // of the configuration in the store
     std::optional<TimePoint> confirmedAt; // when the store last confirmed that there is no newer one; empty: not yet
 };
 
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -2,9 +2,11 @@
 
 #include "core/declarations.h"
 #include "store/client_policy.h"
+#include "store/era_tracker.h"
 #include "store/http_transport.h"
 #include "store/object_api.h"
 
+#include <array>
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
@@ -75,11 +77,22 @@
     // Whether the circuit breaker would admit a call at `now`.
     bool canSendNow(core::TimePoint now) const { return this->breaker->wouldAdmit(now); }
     bool isStoreDown() const { return this->breaker->isOpen(); }
+    // The store's present era; 0 if no answer has stated one.
+    std::uint64_t era() const { return this->eraTracker.current(); }
+    // How many answers had this verdict.
+    std::uint64_t answerCount(EraVerdict verdict) const { return this->answersByVerdict[static_cast<std::size_t>(verdict)]; }
     core::TimePoint now() const { return this->transport.now(); }
 
 private:
-    boost::asio::awaitable<HttpResponse> attempt(HttpRequest request, core::Duration timeout);
-    boost::asio::awaitable<HttpResponse> read(HttpRequest request);
+    // A response with the era to which it belongs.
+    struct Answer {
+        HttpResponse response;
+        std::uint64_t era = 0;
+    };
+
+    boost::asio::awaitable<Answer> attempt(HttpRequest request, core::Duration timeout);
+    void readEra(Answer&);
+    boost::asio::awaitable<Answer> read(HttpRequest request);
     boost::asio::awaitable<WriteResult> write(StoredObject stored, std::uint64_t ifVersion) requires ConditionalWriteApi<ApiType>;
     boost::asio::awaitable<std::vector<core::Object>> runWatchStep(WatchCursor& cursor, std::span<const std::string> kinds) requires ConditionalWriteApi<ApiType>;
     WriteId nextWriteId();
@@ -88,6 +101,8 @@
     ClientOptions options;
     core::RandomEngine random;
     RateLimiter rateLimiter;
+    EraTracker eraTracker;
+    std::array<std::uint64_t, core::enumeratorCount<EraVerdict>()> answersByVerdict {};
     std::shared_ptr<CircuitBreaker> breaker;
     SeenVersions seenVersions;
 };
--- a/src/store/client_impl.h
+++ b/src/store/client_impl.h
@@ -106,7 +106,7 @@
 // Makes one HTTP exchange, subject to the rate limit and the circuit breaker. Throws StoreUnavailable if the breaker is
 // open.
 template <Transport TransportType, ObjectApi ApiType>
-asio::awaitable<HttpResponse> Client<TransportType, ApiType>::attempt(HttpRequest request, core::Duration timeout)
+auto Client<TransportType, ApiType>::attempt(HttpRequest request, core::Duration timeout) -> asio::awaitable<Answer>
 {
     core::TimePoint now = this->transport.now();
     if (!this->breaker->tryAdmit(now))
@@ -115,30 +115,45 @@
     core::TimePoint start = this->rateLimiter.reserve(now);
     if (start > now)
         co_await this->transport.waitUntil(start);
-    HttpResponse response = co_await this->transport.exchange(std::move(request), std::max(now, start) + timeout);
-    if (response.outcome == ExchangeOutcome::Cancelled)
-        co_return response;
+    Answer answer;
+    answer.response = co_await this->transport.exchange(std::move(request), std::max(now, start) + timeout);
+    if (answer.response.outcome == ExchangeOutcome::Cancelled)
+        co_return answer;
     admitted.hasResult = true;
-    if (isServerFailure(response))
+    if (isServerFailure(answer.response))
         this->breaker->recordFailure(this->transport.now(), this->random);
     else
         this->breaker->recordSuccess();
-    co_return response;
+    if (answer.response.outcome == ExchangeOutcome::Answered)
+        this->readEra(answer);
+    co_return answer;
+}
+
+// Sets the era to which the answer belongs. An answer of an earlier era counts as lost: what it reports, or has done to
+// the store, need not hold in the present one.
+template <Transport TransportType, ObjectApi ApiType>
+void Client<TransportType, ApiType>::readEra(Answer& answer)
+{
+    const EraReading reading = this->eraTracker.read(answer.response.era, this->transport.now());
+    ++this->answersByVerdict[static_cast<std::size_t>(reading.verdict)];
+    answer.era = reading.era;
+    if (reading.verdict == EraVerdict::Earlier)
+        answer.response.outcome = ExchangeOutcome::Lost;
 }
 
 // Retries a read until it is answered, the total timeout expires or the circuit breaker opens.
 template <Transport TransportType, ObjectApi ApiType>
-asio::awaitable<HttpResponse> Client<TransportType, ApiType>::read(HttpRequest request)
+auto Client<TransportType, ApiType>::read(HttpRequest request) -> asio::awaitable<Answer>
 {
     core::TimePoint deadline = this->transport.now() + this->options.totalTimeout;
     Backoff backoff(this->options.backoff);
     while (true) {
-        HttpResponse response = co_await this->attempt(request, this->options.attemptTimeout);
-        if (!isServerFailure(response))
-            co_return response;
+        Answer answer = co_await this->attempt(request, this->options.attemptTimeout);
+        if (!isServerFailure(answer.response))
+            co_return answer;
         core::TimePoint retryTime = this->transport.now() + backoff.next(this->random);
         if (retryTime >= deadline)
-            throw storeUnavailable(response);
+            throw storeUnavailable(answer.response);
         co_await this->transport.waitUntil(retryTime);
     }
 }
@@ -151,10 +166,13 @@
     bool first = true;
     do {
         HttpRequest request = ApiType::makeListRequest(kind, after, consistency);
-        HttpResponse response = co_await this->read(std::move(request));
-        if (response.status != httpOk)
-            throw unexpectedStatus(response);
-        ObjectPage page = ApiType::decodePage(response.body, kind);
+        const Answer answer = co_await this->read(std::move(request));
+        if (answer.response.status != httpOk)
+            throw unexpectedStatus(answer.response);
+        ObjectPage page = ApiType::decodePage(answer.response.body, kind, answer.era);
+        if (!first && answer.era != batch.era)
+            throw storeUnavailable(": it came back from a copy between two pages of a list");
+        batch.era = answer.era;
         batch.version = std::exchange(first, false) ? page.batch.version : std::min(batch.version, page.batch.version);
         std::move(page.batch.objects.begin(), page.batch.objects.end(), std::back_inserter(batch.objects));
         if (!after.empty() && page.continueAfter == after)
@@ -174,21 +192,24 @@
     const core::Duration answerTimeout = watchOptions.answerTimeout > core::Duration::zero() ? watchOptions.answerTimeout : this->options.watchTimeoutMargin;
     HttpRequest request = ApiType::makeWatchRequest(kind, fromVersion, watchOptions.wait);
     request.cancellation = std::move(watchOptions.cancellation);
-    HttpResponse response = co_await this->attempt(std::move(request), watchOptions.wait + answerTimeout);
-    if (isServerFailure(response))
-        throw storeUnavailable(response);
-    if (response.status == httpGone)
+    const Answer answer = co_await this->attempt(std::move(request), watchOptions.wait + answerTimeout);
+    if (isServerFailure(answer.response))
+        throw storeUnavailable(answer.response);
+    if (answer.response.status == httpGone)
         throw core::Error(core::ErrorKind::HistoryGone, "the store no longer holds the changes since version " + std::to_string(fromVersion));
-    if (response.status != httpOk)
-        throw unexpectedStatus(response);
-    co_return ApiType::decodeChanges(response.body, kind);
+    if (answer.response.status != httpOk)
+        throw unexpectedStatus(answer.response);
+    ObjectBatch changes = ApiType::decodeChanges(answer.response.body, kind, answer.era);
+    changes.era = answer.era;
+    co_return changes;
 }
 
 template <Transport TransportType, ObjectApi ApiType>
 asio::awaitable<bool> Client<TransportType, ApiType>::create(std::string kind, std::string name, std::string content)
 {
     HttpRequest request = ApiType::makeCreateRequest(kind, name, content);
-    HttpResponse response = co_await this->attempt(std::move(request), this->options.attemptTimeout);
+    const Answer answer = co_await this->attempt(std::move(request), this->options.attemptTimeout);
+    const HttpResponse& response = answer.response;
     if (isServerFailure(response))
         throw storeUnavailable(response);
     if (response.status != httpOk && response.status != httpCreated && response.status != httpConflict)
@@ -200,8 +221,8 @@
 asio::awaitable<StoredObject> Client<TransportType, ApiType>::get(std::string kind, std::string name) requires ConditionalWriteApi<ApiType>
 {
     HttpRequest request = ApiType::makeGetRequest(kind, name);
-    HttpResponse response = co_await this->read(std::move(request));
-    StoredObject stored = decodeRead<ApiType>(response);
+    const Answer answer = co_await this->read(std::move(request));
+    StoredObject stored = decodeRead<ApiType>(answer.response);
     stored.object.kind = std::move(kind);
     stored.object.name = std::move(name);
     co_return stored;
@@ -252,7 +273,8 @@
         HttpResponse response;
         try {
             HttpRequest request = isWrite ? ApiType::makePutRequest(stored, replacedVersion) : ApiType::makeGetRequest(stored.object.kind, stored.object.name);
-            response = co_await this->attempt(std::move(request), this->options.attemptTimeout);
+            Answer answer = co_await this->attempt(std::move(request), this->options.attemptTimeout);
+            response = std::move(answer.response);
         } catch (const core::Error&) {
             throw giveUpError();
         }
@@ -289,10 +311,10 @@
 asio::awaitable<core::ServerList> Client<TransportType, ApiType>::fetchServerList() requires ConditionalWriteApi<ApiType>
 {
     HttpRequest request = ApiType::makeServerListRequest();
-    HttpResponse response = co_await this->read(std::move(request));
-    if (response.status != httpOk)
-        throw unexpectedStatus(response);
-    co_return declare::parseServerList(ApiType::decodeServerList(response.body), this->transport.now());
+    const Answer answer = co_await this->read(std::move(request));
+    if (answer.response.status != httpOk)
+        throw unexpectedStatus(answer.response);
+    co_return declare::parseServerList(ApiType::decodeServerList(answer.response.body), this->transport.now());
 }
 
 // Makes the next step of a watch loop: a list of each kind, a watch, or a verification of the cursor. A watch covers
--- a/src/store/http_transport.cpp
+++ b/src/store/http_transport.cpp
@@ -74,9 +74,10 @@
     core::TimePoint idleSince {};
 };
 
-HttpTransport::HttpTransport(asio::io_context& ioContext, const std::string& storeEndpoint)
+HttpTransport::HttpTransport(asio::io_context& ioContext, const std::string& storeEndpoint, std::string_view storeEraField)
     : context(ioContext)
     , endpoint(parseEndpoint(storeEndpoint))
+    , eraField(storeEraField)
 {
 }
 
@@ -162,7 +163,11 @@
         co_return HttpResponse { .outcome = ExchangeOutcome::Lost, .status = 0, .body = {} };
     if (!parser->get().keep_alive())
         connection.stream.close();
-    co_return HttpResponse { .outcome = ExchangeOutcome::Answered, .status = parser->get().result_int(), .body = std::move(parser->get().body()) };
+    HttpResponse response { .outcome = ExchangeOutcome::Answered, .status = parser->get().result_int(), .body = std::move(parser->get().body()) };
+    const auto era = this->eraField.empty() ? parser->get().end() : parser->get().find(this->eraField);
+    if (era != parser->get().end())
+        response.era = std::string(era->value());
+    co_return response;
 }
 
 void HttpTransport::keepIdle(const std::shared_ptr<Connection>& connection)
--- a/src/store/http_transport.h
+++ b/src/store/http_transport.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 namespace cranberryshed::store {
@@ -14,8 +15,9 @@
 // thread. Before it is destroyed, all calls of `exchange` must have ended, or the io_context must not run any more.
 class HttpTransport {
 public:
-    // `endpoint` has the form "IP:port". Throws core::Error (BadSettings) if it does not.
-    HttpTransport(boost::asio::io_context& context, const std::string& endpoint);
+    // `endpoint` has the form "IP:port". Throws core::Error (BadSettings) if it does not. `eraField` is the name of the
+    // header field that states the store's era; empty: there is none.
+    HttpTransport(boost::asio::io_context& context, const std::string& endpoint, std::string_view eraField = {});
     ~HttpTransport();
     HttpTransport(const HttpTransport&) = delete;
     HttpTransport& operator=(const HttpTransport&) = delete;
@@ -39,6 +41,7 @@
 
     boost::asio::io_context& context;
     boost::asio::ip::tcp::endpoint endpoint;
+    std::string eraField;
     std::vector<std::shared_ptr<Connection>> idleConnections;
     std::vector<std::weak_ptr<Connection>> busyConnections;
     bool isClosed = false;
--- /dev/null
+++ b/src/store/known_objects.cpp
@@ -0,0 +1,127 @@
+#include "store/known_objects.h"
+
+#include <utility>
+
+namespace cranberryshed::store {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    // Longer than a copy of the store can be old.
+    constexpr core::Duration removalRetention = 1h;
+    constexpr std::size_t maxIgnoredStates = 64; // between two calls of takeIgnored()
+
+    bool isSamePosition(const core::ObjectVersion& left, const core::ObjectVersion& right)
+    {
+        return left.revision == right.revision && core::positionOf(left) == core::positionOf(right);
+    }
+
+}
+
+bool KnownObjects::acceptState(core::Object& object, ReportKind report)
+{
+    const auto [found, added] = this->objects.try_emplace(object.name, Known { .version = object.version });
+    if (added)
+        return true;
+    Known& known = found->second;
+    const core::StorePosition at = core::positionOf(object.version);
+    const core::StorePosition knownAt = core::positionOf(known.version);
+    const bool isLater = at > knownAt && (report == ReportKind::Change || at.era == knownAt.era);
+    if (isLater && this->writerOrder == core::WriterOrder::Lifecycle)
+        object.version.revision = std::max(object.version.revision, core::succeedingRevision(known.version.revision, this->writerOrder));
+    const bool isRestored = core::stageOf(known.version) == core::PositionStage::HeldRemoved && isSamePosition(object.version, known.version);
+    if (isRestored)
+        object.version.version = core::packPosition(at, core::PositionStage::Restored);
+    if (object.version <= known.version) {
+        this->ignore(object, known);
+        return false;
+    }
+    known = { .version = object.version };
+    return true;
+}
+
+bool KnownObjects::isHeldRemovable(const core::Object& object) const
+{
+    const auto found = this->objects.find(object.name);
+    if (found == this->objects.end() || !found->second.isRemoved)
+        return false;
+    const core::ObjectVersion& removal = found->second.version;
+    const core::StorePosition at = core::positionOf(object.version);
+    const core::StorePosition removedAt = core::positionOf(removal);
+    const bool isFromCopy = removedAt.era < at.era && at.revision <= removedAt.revision;
+    const bool isHeldAlready = core::stageOf(removal) == core::PositionStage::HeldRemoved && at == removedAt;
+    return object.version.revision <= removal.revision && (isFromCopy || isHeldAlready);
+}
+
+void KnownObjects::holdRemoved(core::Object& object, core::TimePoint now)
+{
+    object.deleted = true;
+    object.content.clear();
+    object.version.version = core::packPosition(core::positionOf(object.version), core::PositionStage::HeldRemoved);
+    this->acceptRemoval(object, now);
+}
+
+bool KnownObjects::isNewerRemoval(core::Object& removal, ReportKind report)
+{
+    const auto found = this->objects.find(removal.name);
+    const std::uint64_t lastRevision = found == this->objects.end() ? removal.version.revision : std::max(removal.version.revision, found->second.version.revision);
+    removal.version.revision = core::removalRevision(lastRevision, this->writerOrder);
+    core::StorePosition at = core::positionOf(removal.version);
+    removal.version.version = core::packPosition(at, core::PositionStage::Removed);
+    if (found == this->objects.end())
+        return true;
+    const Known& known = found->second;
+    const core::StorePosition knownAt = core::positionOf(known.version);
+    if (at < knownAt) {
+        this->ignore(removal, known);
+        return false;
+    }
+    // A watch can report a removal with the revision of the state that it ends.
+    if (report == ReportKind::Change && !known.isRemoved && removal.version <= known.version) {
+        ++at.revision;
+        removal.version.version = core::packPosition(at, core::PositionStage::Removed);
+    }
+    return removal.version > known.version;
+}
+
+bool KnownObjects::acceptRemoval(const core::Object& removal, core::TimePoint now)
+{
+    this->forgetOldRemovals(now);
+    const auto [found, added] = this->objects.try_emplace(removal.name);
+    if (!added && found->second.version >= removal.version)
+        return false;
+    found->second = { .version = removal.version, .isRemoved = true, .removedAt = now };
+    return true;
+}
+
+void KnownObjects::learn(const core::Object& object, core::TimePoint now)
+{
+    const auto [found, added] = this->objects.try_emplace(object.name);
+    if (added || found->second.version < object.version)
+        found->second = { .version = object.version, .isRemoved = object.deleted, .removedAt = now };
+}
+
+std::set<std::string> KnownObjects::existingNames() const
+{
+    std::set<std::string> names;
+    for (const auto& [name, known] : this->objects) {
+        if (!known.isRemoved)
+            names.insert(names.end(), name);
+    }
+    return names;
+}
+
+// Records a state that is older than the known one. One that is known already is no news either way.
+void KnownObjects::ignore(const core::Object& object, const Known& known)
+{
+    if (!isSamePosition(object.version, known.version) && this->ignored.size() < maxIgnoredStates)
+        this->ignored.push_back({ .name = object.name, .reported = object.version, .known = known.version });
+}
+
+void KnownObjects::forgetOldRemovals(core::TimePoint now)
+{
+    std::erase_if(this->objects, [&](const auto& entry) { return entry.second.isRemoved && now - entry.second.removedAt > removalRetention; });
+}
+
+}
--- a/src/store/object_api.h
+++ b/src/store/object_api.h
@@ -30,21 +30,21 @@
 // An interface of the store: encodes requests and decodes the bodies of responses. The decode functions throw
 // core::Error (BadMessage).
 template <typename Candidate>
-concept ObjectApi = requires(const std::string& kind, const std::string& name, const std::string& text, std::uint64_t fromVersion, core::Duration wait)
+concept ObjectApi = requires(const std::string& kind, const std::string& name, const std::string& text, std::uint64_t era, std::uint64_t fromVersion, core::Duration wait)
 {
     // Lists the objects of a kind whose names come after `name`.
     {
         Candidate::makeListRequest(kind, name, Consistency::Linearizable)
         } -> std::same_as<HttpRequest>;
     {
-        Candidate::decodePage(text, kind)
+        Candidate::decodePage(text, kind, era)
         } -> std::same_as<ObjectPage>;
     // Waits at most `wait` for changes after store version `fromVersion`.
     {
         Candidate::makeWatchRequest(kind, fromVersion, wait)
         } -> std::same_as<HttpRequest>;
     {
-        Candidate::decodeChanges(text, kind)
+        Candidate::decodeChanges(text, kind, era)
         } -> std::same_as<ObjectBatch>;
     // Creates an object with the content `text`. It must not exist yet.
     {
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -16,16 +16,18 @@
     constexpr std::size_t takeoverSteps = 4;
     // A change reaches the watches of the members at different times, because each is renewed after its batch delay.
     constexpr core::Duration watchSkew = 500ms;
+    // Bounds the lists that the store gets at once after it came back from a copy.
+    constexpr core::Duration returnSpreadPerMember = 2ms;
 
 }
 
 WatcherCall ObjectWatcher::nextCall() const
 {
-    if (!this->reachedVersion)
+    if (!this->reachedPosition)
         return { .kind = WatcherCallKind::List, .notBefore = this->nextCallTime, .consistency = this->listConsistency };
     const core::Duration wait = this->isReplacing ? core::Duration::zero() : this->fleet.rank == 0 ? this->options.confirmInterval
                                                                                                    : this->options.maxWait;
-    return { .kind = WatcherCallKind::Watch, .notBefore = this->nextCallTime, .fromVersion = *this->reachedVersion, .wait = wait, .answerTimeout = this->currentAnswerTimeout() };
+    return { .kind = WatcherCallKind::Watch, .notBefore = this->nextCallTime, .fromVersion = this->reachedPosition->revision, .wait = wait, .answerTimeout = this->currentAnswerTimeout() };
 }
 
 core::Duration ObjectWatcher::currentAnswerTimeout() const
@@ -37,7 +39,7 @@
 void ObjectWatcher::setFleetKnowledge(const FleetKnowledge& knowledge, core::TimePoint now)
 {
     this->fleet = knowledge;
-    if (knowledge.newestRevision <= this->reachedVersion.value_or(0))
+    if (knowledge.newest <= this->reached())
         this->behindSince.reset();
     else if (!this->behindSince)
         this->behindSince = now;
@@ -58,7 +60,7 @@
     if (this->isReplacing)
         return core::TimePoint::max();
     const core::TimePoint confirmed = std::max({ this->lastConfirmation.value_or(this->lastAnswerAt), this->fleet.confirmedAt.value_or(this->lastAnswerAt), this->lastAnswerAt });
-    const core::TimePoint old = confirmed + this->confirmationLimit();
+    const core::TimePoint old = std::min(confirmed + this->confirmationLimit(), this->settleUntil.value_or(core::TimePoint::max()));
     return this->behindSince ? std::min(old, *this->behindSince + this->options.batchDelay + watchSkew) : old;
 }
 
@@ -66,52 +68,86 @@
 {
     this->isReplacing = true;
     this->nextCallTime = now;
+    if (this->settleUntil && now >= *this->settleUntil)
+        this->requireCurrentList(now);
 }
 
-std::vector<core::Object> ObjectWatcher::handleList(std::vector<core::Object> objects, std::uint64_t storeVersion, core::TimePoint now)
+std::vector<core::Object> ObjectWatcher::handleList(std::vector<core::Object> objects, core::StorePosition position, core::TimePoint now)
 {
     this->recordSuccess(now);
     this->lastAnsweredCall = WatcherCallKind::List;
     if (this->listConsistency == Consistency::Linearizable)
         this->lastConfirmation = now;
+    const bool isFirstOfEra = this->isReturn(position);
+    if (isFirstOfEra)
+        this->beginEra(position, now);
+    else if (!this->isSettling(now))
+        this->settleUntil.reset();
+    this->listedEra = position.era;
     std::vector<core::Object> accepted;
-    std::map<std::string, core::ObjectVersion> missing = this->knownVersions;
+    std::size_t kept = 0;
+    std::set<std::string> missing = this->known.existingNames();
     for (core::Object& object : objects) {
         missing.erase(object.name);
-        this->lastChangedRevision = std::max(this->lastChangedRevision, object.version.revision);
-        this->applyUpdate(std::move(object), now, accepted);
+        this->lastChangeSeen = std::max(this->lastChangeSeen, core::positionOf(object.version));
+        kept += this->applyListed(std::move(object), now, accepted) ? 0 : 1;
     }
-    for (const auto& [name, version] : missing)
-        this->applyRemoval({ .kind = this->options.kind, .name = name, .version = { .revision = storeVersion, .version = 1 }, .deleted = true, .content = {} }, now, accepted);
-    this->reachedVersion = storeVersion;
+    for (const std::string& name : missing)
+        this->applyRemoval({ .kind = this->options.kind, .name = name, .version = { .revision = 0, .version = core::packPosition(position, core::PositionStage::Removed) }, .deleted = true, .content = {} }, ReportKind::Listed, now, accepted);
+    if (isFirstOfEra) {
+        this->lastReturn->taken = accepted.size();
+        this->lastReturn->kept = kept + missing.size();
+    }
+    this->reachedPosition = position;
     this->listConsistency = Consistency::Stale;
     return accepted;
 }
 
-std::vector<core::Object> ObjectWatcher::handleChanges(std::vector<core::Object> changes, std::uint64_t storeVersion, core::TimePoint now)
+void ObjectWatcher::beginEra(core::StorePosition position, core::TimePoint now)
+{
+    this->lastReturn = StoreReturn { .previousEra = *this->listedEra, .era = position.era };
+    this->settleUntil = now + this->options.settleTime;
+    this->holdAbsencesUntil = now + this->options.absenceHoldTime;
+}
+
+std::vector<core::Object> ObjectWatcher::handleChanges(std::vector<core::Object> changes, core::StorePosition position, core::TimePoint now)
 {
     this->recordSuccess(now);
     this->lastAnsweredCall = WatcherCallKind::Watch;
     this->lastConfirmation = now;
     std::vector<core::Object> accepted;
     for (core::Object& object : changes) {
-        this->lastChangedRevision = std::max(this->lastChangedRevision, object.version.revision);
+        this->lastChangeSeen = std::max(this->lastChangeSeen, core::positionOf(object.version));
         if (object.deleted)
-            this->applyRemoval(std::move(object), now, accepted);
+            this->applyRemoval(std::move(object), ReportKind::Change, now, accepted);
         else
-            this->applyUpdate(std::move(object), now, accepted);
+            this->applyChange(std::move(object), now, accepted);
     }
-    this->reachedVersion = std::max(this->reachedVersion.value_or(0), storeVersion);
+    this->reachedPosition = std::max(this->reached(), position);
+    if (this->settleUntil && now >= *this->settleUntil)
+        this->requireCurrentList(now);
     return accepted;
 }
 
 void ObjectWatcher::recordHistoryGone(core::TimePoint now)
 {
-    this->reachedVersion.reset();
+    this->requireCurrentList(now);
+}
+
+void ObjectWatcher::requireCurrentList(core::TimePoint now)
+{
+    this->reachedPosition.reset();
     this->listConsistency = Consistency::Linearizable;
     this->nextCallTime = now;
 }
 
+void ObjectWatcher::recordReturn(core::TimePoint now, core::RandomEngine& random)
+{
+    this->requireCurrentList(now);
+    const core::Duration spread = returnSpreadPerMember * this->fleet.members;
+    this->nextCallTime += core::Duration(std::uniform_int_distribution<core::Duration::rep>(0, spread.count())(random));
+}
+
 void ObjectWatcher::recordFailure(core::TimePoint now, core::RandomEngine& random)
 {
     const unsigned doublings = std::min(this->failures, 8U);
@@ -131,44 +167,49 @@
     this->nextCallTime = now + this->options.batchDelay;
 }
 
-void ObjectWatcher::applyUpdate(core::Object object, core::TimePoint, std::vector<core::Object>& accepted)
+// Returns false if the listed state contradicts what is known and is not taken.
+bool ObjectWatcher::applyListed(core::Object object, core::TimePoint now, std::vector<core::Object>& accepted)
 {
     this->heldRemovals.erase(object.name);
-    const auto [known, added] = this->knownVersions.try_emplace(object.name, object.version);
-    if (!added && known->second >= object.version) {
-        if (known->second > object.version)
-            this->ignored.push_back({ .name = std::move(object.name), .reported = object.version, .known = known->second });
-        return;
+    if (this->isSettling(now) && this->known.isHeldRemovable(object)) {
+        this->known.holdRemoved(object, now);
+        accepted.push_back(std::move(object));
+        return false;
     }
-    known->second = object.version;
+    if (!this->known.acceptState(object, ReportKind::Listed))
+        return false;
     accepted.push_back(std::move(object));
+    return true;
 }
 
-void ObjectWatcher::applyRemoval(core::Object object, core::TimePoint now, std::vector<core::Object>& accepted)
+void ObjectWatcher::applyChange(core::Object object, core::TimePoint, std::vector<core::Object>& accepted)
 {
-    const auto known = this->knownVersions.find(object.name);
-    if (known != this->knownVersions.end() && known->second > object.version) {
-        this->ignored.push_back({ .name = std::move(object.name), .reported = object.version, .known = known->second });
+    this->heldRemovals.erase(object.name);
+    if (this->known.acceptState(object, ReportKind::Change))
+        accepted.push_back(std::move(object));
+}
+
+void ObjectWatcher::applyRemoval(core::Object object, ReportKind report, core::TimePoint now, std::vector<core::Object>& accepted)
+{
+    if (!this->known.isNewerRemoval(object, report))
         return;
-    }
-    if (now < this->holdRemovalsUntil) {
+    const core::TimePoint holdUntil = report == ReportKind::Listed ? std::max(this->holdRemovalsUntil, this->holdAbsencesUntil) : this->holdRemovalsUntil;
+    if (now < holdUntil) {
         const std::string name = object.name;
-        this->heldRemovals.try_emplace(name, HeldRemoval { .object = std::move(object), .until = this->holdRemovalsUntil });
+        this->heldRemovals.try_emplace(name, HeldRemoval { .object = std::move(object), .until = holdUntil });
         return;
     }
-    if (known != this->knownVersions.end())
-        this->knownVersions.erase(known);
-    accepted.push_back(std::move(object));
+    this->heldRemovals.erase(object.name);
+    if (this->known.acceptRemoval(object, now))
+        accepted.push_back(std::move(object));
 }
 
 std::vector<core::Object> ObjectWatcher::releaseHeldRemovals(core::TimePoint now)
 {
     std::vector<core::Object> accepted;
     for (auto& [name, removal] : this->heldRemovals) {
-        if (removal.until > now)
-            continue;
-        this->knownVersions.erase(name);
-        accepted.push_back(removal.object);
+        if (removal.until <= now && this->known.acceptRemoval(removal.object, now))
+            accepted.push_back(removal.object);
     }
     std::erase_if(this->heldRemovals, [&](const auto& item) { return item.second.until <= now; });
     return accepted;
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "core/object.h"
+#include "core/object_order.h"
 #include "core/types.h"
+#include "store/known_objects.h"
 #include "store/object_api.h"
 
 #include <map>
@@ -27,18 +28,19 @@
     core::Duration answerTimeout {}; // of a watch: for the answer, after `wait`
 };
 
-// A state of an object that the store reported although a newer one is known.
-struct IgnoredState {
-    std::string name;
-    core::ObjectVersion reported;
-    core::ObjectVersion known;
+// The store came back from an older copy, and the first list after that was read.
+struct StoreReturn {
+    std::uint64_t previousEra = 0;
+    std::uint64_t era = 0;
+    std::size_t taken = 0; // objects of the list that are newer than what was known
+    std::size_t kept = 0; // known states and removals that the list contradicts
 };
 
 // What the fleet knows of the objects of a kind, as this member sees it.
 struct FleetKnowledge {
     std::size_t rank = 0; // of this member in the order in which members ask the store for the fleet
     std::size_t members = 1; // alive, including this one
-    std::uint64_t newestRevision = 0; // of the objects that this member holds, from whatever source
+    core::StorePosition newest {}; // of the objects that this member holds, from whatever source
     // When the store last confirmed to any member that there is no newer one; empty: never.
     std::optional<core::TimePoint> confirmedAt {};
 };
@@ -52,12 +54,16 @@
 // A member replaces its watch by a call without waiting if that knowledge becomes too old, or if another member knows a
 // change that the watch has not reported.
 //
-// An object's `version.revision` is the store version of its last change. A removal has `version.version` 1, so it
-// orders after the state that it removes.
+// If the store comes back from an older copy, each member lists again, at its own time within a moment. States that the
+// writer itself orders are newer or not by that order. Otherwise what was known to be in force is held for a while,
+// because its writer may have to repeat it: a removed object that came back for `settleTime`, one that is missing for
+// `absenceHoldTime`. Changes that a watch reports were made after the return and end the hold. A second list after
+// `settleTime` is taken as it is.
 class ObjectWatcher {
 public:
     struct Options {
         std::string kind;
+        core::WriterOrder writerOrder = core::WriterOrder::None;
         // Delay between the end of a call and the next watch, so that a series of changes needs few calls.
         core::Duration batchDelay = std::chrono::milliseconds(100);
         core::Duration firstRetryDelay = std::chrono::milliseconds(60);
@@ -65,6 +71,8 @@
         // How long removals are held back if they are first seen after an outage of the store. Entries that expired
         // during the outage are written again within two seconds after it.
         core::Duration removalHoldTime {};
+        core::Duration settleTime = std::chrono::seconds(3);
+        core::Duration absenceHoldTime = std::chrono::seconds(10);
         core::Duration maxWait = std::chrono::seconds(30); // of a watch; the store allows no longer one
         core::Duration confirmInterval = std::chrono::seconds(1); // between two answers to the first member
         // For the answer of a watch after its wait. It doubles with each failure up to `maxAnswerTimeout`, because a store
@@ -75,21 +83,39 @@
 
     explicit ObjectWatcher(Options watcherOptions)
         : options(std::move(watcherOptions))
+        , known(this->options.writerOrder)
     {
     }
 
     WatcherCall nextCall() const;
 
-    // Handles the result of a list: all objects at `storeVersion`. Returns the changes to the known objects, including
+    // Handles the result of a list: all objects at `position`. Returns the changes to the known objects, including
     // removals of objects that are missing from the list.
-    std::vector<core::Object> handleList(std::vector<core::Object> objects, std::uint64_t storeVersion, core::TimePoint now);
+    std::vector<core::Object> handleList(std::vector<core::Object> objects, core::StorePosition position, core::TimePoint now);
 
-    // Handles the result of a watch: the changes up to `storeVersion`, in their order. Returns those that are new.
-    std::vector<core::Object> handleChanges(std::vector<core::Object> changes, std::uint64_t storeVersion, core::TimePoint now);
+    // Handles the result of a watch: the changes up to `position`, in their order. Returns those that are new. The
+    // position must be of the era of the last list, see recordReturn().
+    std::vector<core::Object> handleChanges(std::vector<core::Object> changes, core::StorePosition position, core::TimePoint now);
 
     // Records that the store no longer holds the changes since the requested version. A list is due at once.
     void recordHistoryGone(core::TimePoint now);
 
+    // Records that an answer was made in a later era than the last list, whose changes a watch doesn't report. A list is
+    // due within a moment that grows with the fleet, so that not all members list at once.
+    void recordReturn(core::TimePoint now, core::RandomEngine& random);
+
+    // Takes over what other members know of an object, before the first list of a new era.
+    void learn(const core::Object& object, core::TimePoint now) { this->known.learn(object, now); }
+
+    // The first list of a new era, if there was one since the last call of this function.
+    std::optional<StoreReturn> takeReturn() { return std::exchange(this->lastReturn, std::nullopt); }
+
+    // Whether a list at this position is the first one after the store came back from a copy.
+    bool isReturn(core::StorePosition position) const { return this->listedEra && position.era > *this->listedEra; }
+
+    // The era of the last list.
+    std::uint64_t era() const { return this->listedEra.value_or(0); }
+
     // Records a failed call. The random delay before the next one spreads the calls of many entry VMs.
     void recordFailure(core::TimePoint now, core::RandomEngine& random);
 
@@ -108,15 +134,17 @@
     std::optional<core::TimePoint> nextReleaseTime() const;
 
     // Returns the states that were turned down since the last call of this function.
-    std::vector<IgnoredState> takeIgnored() { return std::exchange(this->ignored, {}); }
+    std::vector<IgnoredState> takeIgnored() { return this->known.takeIgnored(); }
 
     // Whether a list has been read and the last call succeeded.
-    bool isSynced() const { return this->failures == 0 && this->reachedVersion.has_value(); }
+    bool isSynced() const { return this->failures == 0 && this->reachedPosition.has_value(); }
     // When the store last answered a call with its newest state; empty: never. Between two answers of watches, a change
     // that the store has not reported can exist.
     std::optional<core::TimePoint> confirmedAt() const { return this->lastConfirmation; }
-    // The store's revision of the last change of the kind that was seen; 0: none.
-    std::uint64_t lastChange() const { return this->lastChangedRevision; }
+    // The position of the last change of the kind that was seen.
+    core::StorePosition lastChange() const { return this->lastChangeSeen; }
+    // The position up to which all changes were seen; that of the last list, if another list is due.
+    core::StorePosition reached() const { return this->reachedPosition.value_or(core::StorePosition {}); }
     // The kind of the last call that was answered.
     WatcherCallKind lastAnswered() const { return this->lastAnsweredCall; }
     const std::string& kind() const { return this->options.kind; }
@@ -130,17 +158,21 @@
     void recordSuccess(core::TimePoint now);
     core::Duration confirmationLimit() const;
     core::Duration currentAnswerTimeout() const;
-    void applyUpdate(core::Object, core::TimePoint now, std::vector<core::Object>& accepted);
-    void applyRemoval(core::Object, core::TimePoint now, std::vector<core::Object>& accepted);
+    void beginEra(core::StorePosition, core::TimePoint now);
+    bool isSettling(core::TimePoint now) const { return this->settleUntil && now < *this->settleUntil; }
+    void requireCurrentList(core::TimePoint now);
+    bool applyListed(core::Object, core::TimePoint now, std::vector<core::Object>& accepted);
+    void applyChange(core::Object, core::TimePoint now, std::vector<core::Object>& accepted);
+    void applyRemoval(core::Object, ReportKind, core::TimePoint now, std::vector<core::Object>& accepted);
 
     Options options;
-    std::optional<std::uint64_t> reachedVersion; // store version up to which all changes were seen
-    std::map<std::string, core::ObjectVersion> knownVersions; // of existing objects, by name
+    std::optional<core::StorePosition> reachedPosition; // up to which all changes were seen; empty: a list is due
+    std::optional<std::uint64_t> listedEra; // of the last list
+    KnownObjects known;
     std::map<std::string, HeldRemoval> heldRemovals; // by object name
-    std::vector<IgnoredState> ignored;
     std::optional<core::TimePoint> lastConfirmation;
     WatcherCallKind lastAnsweredCall = WatcherCallKind::List;
-    std::uint64_t lastChangedRevision = 0;
+    core::StorePosition lastChangeSeen;
     FleetKnowledge fleet;
     std::optional<core::TimePoint> behindSince; // since when another member knows a later change
     core::TimePoint lastAnswerAt {};
@@ -149,6 +181,9 @@
     Consistency listConsistency = Consistency::Stale; // of the next list
     core::TimePoint nextCallTime {};
     core::TimePoint holdRemovalsUntil {}; // removals that are seen before this time are held until then
+    core::TimePoint holdAbsencesUntil {}; // the same for removals that only show as an absence from a list
+    std::optional<core::TimePoint> settleUntil; // when the second list after the store's return is due; empty: none is
+    std::optional<StoreReturn> lastReturn;
 };
 
 }
--- a/src/store/stored_object.h
+++ b/src/store/stored_object.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/object.h"
+#include "core/object_order.h"
 
 #include <cstdint>
 #include <string>
@@ -28,10 +28,17 @@
 
 // The objects of one kind, or changes, as of one version of the store.
 struct ObjectBatch {
+    std::uint64_t era = 0; // of the store
     std::uint64_t version = 0;
     std::vector<StoredObject> objects;
 };
 
+// Where the store was when it made the batch.
+inline core::StorePosition positionOf(const ObjectBatch& batch)
+{
+    return { .era = batch.era, .revision = batch.version };
+}
+
 // Returns the objects of the batch without their write ids.
 inline std::vector<core::Object> withoutWriteIds(ObjectBatch batch)
 {
--- a/src/store/transport.h
+++ b/src/store/transport.h
@@ -6,6 +6,7 @@
 #include <concepts>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cranberryshed::store {
@@ -54,6 +55,7 @@
     ExchangeOutcome outcome = ExchangeOutcome::NotSent;
     unsigned status = 0;
     std::string body;
+    std::optional<std::string> era {}; // of the store, as the answer states it
 };
 
 // The I/O of the store client: HTTP exchanges, the clock and timers. Tests use a mock with a clock of its own.
--- a/src/wire/event_log.h
+++ b/src/wire/event_log.h
@@ -20,6 +20,8 @@
     Reload,
     DependencyLost,
     DependencyRegained,
+    StoreReturned, // the store came back from an older copy of itself, which began a new era
+    EraIgnored, // an answer of the store stated an era that can't be used
     ObjectIgnored, // an object that the store reported was turned down, because a newer state of it is known
     WatchReplaced, // a pending watch of the store was given up, because other members know more or nobody has news
     Configuration, // another configuration is in force
@@ -60,10 +62,14 @@
     TableAgeMs, // since the steering table was built
     KnowledgeAgeMs, // since the store last confirmed that the configuration in force is the newest; -1: unknown
     Source, // of a new configuration
+    Era, // of the store, in which `revision` was assigned
+    KnownEra, // the same for the state that is known already
     Revision, // of an object in the store
     KnownRevision, // of the state of an object that is known already
     Kind, // of an object in the store
     Name, // of an object in the store
+    Taken, // objects of a list that are newer than what was known
+    Kept, // known states and removals that a list contradicts
     Reason,
     Dropped, // lines of this event left out by the rate limit since its previous line, and lines of any event that the
              // output did not accept since the previous line
@@ -73,12 +79,12 @@
 
 template <>
 struct cranberryshed::core::Names<cranberryshed::wire::LogEvent> {
-    static constexpr std::array<std::string_view, 16> values = { "start", "stop", "reload", "dependency-lost", "dependency-regained", "object-ignored", "watch-replaced", "configuration", "server-state", "member-state", "evacuation", "sent", "attempt-ended", "answered", "refused", "caller-gone" };
+    static constexpr std::array<std::string_view, 18> values = { "start", "stop", "reload", "dependency-lost", "dependency-regained", "store-returned", "era-ignored", "object-ignored", "watch-replaced", "configuration", "server-state", "member-state", "evacuation", "sent", "attempt-ended", "answered", "refused", "caller-gone" };
 };
 
 template <>
 struct cranberryshed::core::Names<cranberryshed::wire::LogField> {
-    static constexpr std::array<std::string_view, 31> values = { "request", "class", "object", "server", "domain", "member", "state", "result", "status", "error", "attempt", "elapsedMs", "leftMs", "waitedMs", "inFlight", "others", "expectedMs", "warm", "ageMs", "retryAfterMs", "version", "table", "tableAgeMs", "knowledgeAgeMs", "source", "revision", "knownRevision", "kind", "name", "reason", "dropped" };
+    static constexpr std::array<std::string_view, 35> values = { "request", "class", "object", "server", "domain", "member", "state", "result", "status", "error", "attempt", "elapsedMs", "leftMs", "waitedMs", "inFlight", "others", "expectedMs", "warm", "ageMs", "retryAfterMs", "version", "table", "tableAgeMs", "knowledgeAgeMs", "source", "era", "knownEra", "revision", "knownRevision", "kind", "name", "taken", "kept", "reason", "dropped" };
 };
 
 namespace cranberryshed::wire {
--- a/src/wire/request_log.cpp
+++ b/src/wire/request_log.cpp
@@ -12,9 +12,12 @@
     }
 
     // The configuration and the table by which a request was decided, and their ages.
-    std::array<LogFieldValue, 4> basisOf(const core::SteeringTable& table, core::TimePoint now)
+    std::array<LogFieldValue, 6> basisOf(const core::SteeringTable& table, core::TimePoint now)
     {
+        const core::StorePosition position = table.configurationOrigin ? table.configurationOrigin->position : core::StorePosition {};
         return { { { LogField::Version, signedValue(table.configurationRevision) },
+            { LogField::Era, signedValue(position.era) },
+            { LogField::Revision, signedValue(position.revision) },
             knowledgeAge(table.configurationOrigin, now),
             { LogField::Table, signedValue(table.generation) },
             { LogField::TableAgeMs, wholeMilliseconds(now - table.builtAt) } } };
--- a/tests/io/object_watcher.cpp
+++ b/tests/io/object_watcher.cpp
@@ -11,7 +11,13 @@
 
 core::Object entry(const std::string& name, std::uint64_t storeVersion, bool deleted = false)
 {
-    return { .kind = "servers", .name = name, .version = { .revision = storeVersion, .version = deleted ? 1U : 0U }, .deleted = deleted, .content = deleted ? "" : "{}" };
+    const core::PositionStage stage = deleted ? core::PositionStage::Removed : core::PositionStage::Written;
+    return { .kind = "servers", .name = name, .version = { .revision = 0, .version = core::packPosition({ .era = 0, .revision = storeVersion }, stage) }, .deleted = deleted, .content = deleted ? "" : "{}" };
+}
+
+core::StorePosition at(std::uint64_t revision, std::uint64_t era = 0)
+{
+    return { .era = era, .revision = revision };
 }
 
 store::ObjectWatcher watchServers()
@@ -26,10 +32,10 @@
 {
     store::ObjectWatcher watcher = watchServers();
     CHECK(watcher.nextCall().kind == store::WatcherCallKind::List);
-    CHECK(watcher.handleList({ entry("a", 3) }, 7, start).size() == 1);
+    CHECK(watcher.handleList({ entry("a", 3) }, at(7), start).size() == 1);
     CHECK(watcher.nextCall().kind == store::WatcherCallKind::Watch);
     CHECK(watcher.nextCall().fromVersion == 7);
-    CHECK(watcher.handleChanges({ entry("b", 8) }, 9, start).size() == 1);
+    CHECK(watcher.handleChanges({ entry("b", 8) }, at(9), start).size() == 1);
     CHECK(watcher.nextCall().fromVersion == 9);
 }
 
@@ -38,10 +44,10 @@
 TEST_CASE("a list after lost history reports removed objects", "[follower]")
 {
     store::ObjectWatcher watcher = watchServers();
-    watcher.handleList({ entry("a", 3), entry("b", 4) }, 7, start);
+    watcher.handleList({ entry("a", 3), entry("b", 4) }, at(7), start);
     watcher.recordHistoryGone(start);
     CHECK(watcher.nextCall().kind == store::WatcherCallKind::List);
-    const std::vector<core::Object> changes = watcher.handleList({ entry("b", 4) }, 20, start + 1s);
+    const std::vector<core::Object> changes = watcher.handleList({ entry("b", 4) }, at(20), start + 1s);
     REQUIRE(changes.size() == 1);
     CHECK(changes[0].name == "a");
     CHECK(changes[0].deleted);
@@ -52,9 +58,9 @@
 TEST_CASE("an older state of an object is not passed on", "[follower]")
 {
     store::ObjectWatcher watcher = watchServers();
-    watcher.handleList({ entry("a", 5) }, 7, start);
-    CHECK(watcher.handleChanges({ entry("a", 4) }, 8, start).empty());
-    CHECK(watcher.handleChanges({ entry("a", 3, true) }, 9, start).empty());
+    watcher.handleList({ entry("a", 5) }, at(7), start);
+    CHECK(watcher.handleChanges({ entry("a", 4) }, at(8), start).empty());
+    CHECK(watcher.handleChanges({ entry("a", 3, true) }, at(9), start).empty());
 }
 
 // Guards against removing all backend servers because their entries expired during an outage of the store. The servers
@@ -63,13 +69,13 @@
 {
     store::ObjectWatcher watcher = watchServers();
     core::RandomEngine random(1);
-    watcher.handleList({ entry("a", 3), entry("b", 4) }, 7, start);
+    watcher.handleList({ entry("a", 3), entry("b", 4) }, at(7), start);
     watcher.recordFailure(start + 1s, random);
     const core::TimePoint outageEnd = start + 5s;
-    CHECK(watcher.handleChanges({ entry("a", 3, true), entry("b", 4, true) }, 20, outageEnd).empty());
+    CHECK(watcher.handleChanges({ entry("a", 3, true), entry("b", 4, true) }, at(20), outageEnd).empty());
     SECTION("an entry that is written again is not removed")
     {
-        CHECK(watcher.handleChanges({ entry("a", 21) }, 21, outageEnd + 1s).size() == 1);
+        CHECK(watcher.handleChanges({ entry("a", 21) }, at(21), outageEnd + 1s).size() == 1);
         const std::vector<core::Object> removed = watcher.releaseHeldRemovals(outageEnd + 2200ms);
         REQUIRE(removed.size() == 1);
         CHECK(removed[0].name == "b");
@@ -85,8 +91,8 @@
 TEST_CASE("a removal without an outage is passed on at once", "[follower]")
 {
     store::ObjectWatcher watcher = watchServers();
-    watcher.handleList({ entry("a", 3) }, 7, start);
-    CHECK(watcher.handleChanges({ entry("a", 3, true) }, 8, start + 1s).size() == 1);
+    watcher.handleList({ entry("a", 3) }, at(7), start);
+    CHECK(watcher.handleChanges({ entry("a", 3, true) }, at(8), start + 1s).size() == 1);
 }
 
 // Guards against a high rate of calls while the store refuses them: every call is billed.
@@ -108,7 +114,7 @@
 TEST_CASE("only the first member's watch is short", "[follower]")
 {
     store::ObjectWatcher watcher({ .kind = "servers", .maxWait = 30s, .confirmInterval = 700ms });
-    watcher.handleList({ entry("a", 3) }, 7, start);
+    watcher.handleList({ entry("a", 3) }, at(7), start);
     watcher.setFleetKnowledge({ .rank = 0, .members = 9 }, start);
     CHECK(watcher.nextCall().wait == 700ms);
     watcher.setFleetKnowledge({ .rank = 1, .members = 9 }, start);
@@ -119,10 +125,10 @@
 TEST_CASE("a watch is replaced once when the fleet's knowledge is old", "[follower]")
 {
     store::ObjectWatcher watcher({ .kind = "servers", .batchDelay = 300ms, .confirmInterval = 700ms });
-    watcher.handleList({ entry("a", 3) }, 7, start);
-    watcher.handleChanges({}, 7, start);
+    watcher.handleList({ entry("a", 3) }, at(7), start);
+    watcher.handleChanges({}, at(7), start);
     const auto replacementDelay = [&](std::size_t rank, std::optional<core::TimePoint> confirmedAt) {
-        watcher.setFleetKnowledge({ .rank = rank, .members = 9, .newestRevision = 3, .confirmedAt = confirmedAt }, start);
+        watcher.setFleetKnowledge({ .rank = rank, .members = 9, .newest = at(3), .confirmedAt = confirmedAt }, start);
         return watcher.replacementTime() - start;
     };
     CHECK(replacementDelay(0, {}) == 1600ms); // the wait, the batch delay and the time for the answer
@@ -132,7 +138,7 @@
     watcher.recordReplacement(start + 10s);
     CHECK(watcher.nextCall().wait == 0s);
     CHECK(watcher.replacementTime() == core::TimePoint::max());
-    watcher.handleChanges({}, 8, start + 11s);
+    watcher.handleChanges({}, at(8), start + 11s);
     CHECK(watcher.nextCall().wait > 0s);
     CHECK(watcher.replacementTime() > start + 11s);
 }
@@ -141,13 +147,13 @@
 TEST_CASE("a watch that lacks a peer's change is replaced, one that has it isn't", "[follower]")
 {
     store::ObjectWatcher watcher({ .kind = "servers", .batchDelay = 300ms });
-    watcher.handleList({ entry("a", 3) }, 7, start);
-    watcher.handleChanges({}, 7, start);
-    const auto knowsOfPeers = [&](std::uint64_t newestRevision, core::TimePoint now) { watcher.setFleetKnowledge({ .rank = 1, .members = 9, .newestRevision = newestRevision, .confirmedAt = now }, now); };
+    watcher.handleList({ entry("a", 3) }, at(7), start);
+    watcher.handleChanges({}, at(7), start);
+    const auto knowsOfPeers = [&](std::uint64_t newestRevision, core::TimePoint now) { watcher.setFleetKnowledge({ .rank = 1, .members = 9, .newest = at(newestRevision), .confirmedAt = now }, now); };
     knowsOfPeers(9, start + 100ms);
     knowsOfPeers(9, start + 600ms);
     CHECK(watcher.replacementTime() == start + 900ms);
-    watcher.handleChanges({ entry("b", 9) }, 9, start + 700ms);
+    watcher.handleChanges({ entry("b", 9) }, at(9), start + 700ms);
     knowsOfPeers(9, start + 800ms);
     CHECK(watcher.replacementTime() > start + 3s);
 }
@@ -157,12 +163,12 @@
 {
     core::RandomEngine random(1);
     store::ObjectWatcher watcher({ .kind = "servers", .answerTimeout = 600ms, .maxAnswerTimeout = 1500ms });
-    watcher.handleList({}, 7, start);
+    watcher.handleList({}, at(7), start);
     CHECK(watcher.nextCall().answerTimeout == 600ms);
     watcher.recordFailure(start, random);
     CHECK(watcher.nextCall().answerTimeout == 1200ms);
     watcher.recordFailure(start, random);
     CHECK(watcher.nextCall().answerTimeout == 1500ms);
-    watcher.handleChanges({}, 7, start);
+    watcher.handleChanges({}, at(7), start);
     CHECK(watcher.nextCall().answerTimeout == 600ms);
 }
--- a/tests/io/platform_codecs.cpp
+++ b/tests/io/platform_codecs.cpp
@@ -130,13 +130,13 @@
 TEST_CASE("a malformed answer is an error, an invalid object is skipped", "[platform]")
 {
     for (const char* damaged : { "", "[]", R"({"items":[]})", R"({"items":{},"at":1})", R"({"items":[],"at":"1"})" })
-        CHECK_THROWS_AS(platform::PlatformObjectApi::decodePage(damaged, "servers"), core::Error);
+        CHECK_THROWS_AS(platform::PlatformObjectApi::decodePage(damaged, "servers", 0), core::Error);
     for (const char* damaged : { R"({"events":3,"at":1})", R"({"events":[3],"at":1})", R"({"events":[{}],"at":1})" })
-        CHECK_THROWS_AS(platform::PlatformObjectApi::decodeChanges(damaged, "servers"), core::Error);
+        CHECK_THROWS_AS(platform::PlatformObjectApi::decodeChanges(damaged, "servers", 0), core::Error);
     const std::string page = R"({"items":[3,{"metadata":{}},{"metadata":{"name":"bad","revision":2},"spec":")"
                              "\xff"
                              R"("},{"metadata":{"name":"good","revision":3},"spec":{}}],"at":9})";
-    const store::ObjectPage decoded = platform::PlatformObjectApi::decodePage(page, "servers");
+    const store::ObjectPage decoded = platform::PlatformObjectApi::decodePage(page, "servers", 0);
     REQUIRE(decoded.batch.objects.size() == 2);
     CHECK(decoded.batch.objects[1].object.name == "good");
 }
@@ -144,11 +144,14 @@
 // Guards against a removal that is ignored as already known, because it has the revision of the state that it removes.
 TEST_CASE("a removal is newer than the state that it removes", "[platform]")
 {
-    const store::ObjectBatch changes = platform::PlatformObjectApi::decodeChanges(R"({"events":[{"deleted":true,"object":{"metadata":{"name":"i-1","revision":7},"spec":{},"status":null}}],"at":9})", "servers");
+    const std::string object = R"({"metadata":{"name":"i-1","revision":7},"spec":{},"status":null})";
+    const store::ObjectPage page = platform::PlatformObjectApi::decodePage(R"({"items":[)" + object + R"(],"at":7})", "servers", 0);
+    const store::ObjectBatch changes = platform::PlatformObjectApi::decodeChanges(R"({"events":[{"deleted":true,"object":)" + object + R"(}],"at":9})", "servers", 0);
+    REQUIRE(page.batch.objects.size() == 1);
     REQUIRE(changes.objects.size() == 1);
     CHECK(changes.version == 9);
     CHECK(changes.objects[0].object.deleted);
-    CHECK(changes.objects[0].object.version > core::ObjectVersion { .revision = 7, .version = 0 });
+    CHECK(changes.objects[0].object.version > page.batch.objects[0].object.version);
 }
 
 // Guards against passing a caller the answer to another request, and against taking Not-Executed from the answer to an
--- a/tests/io/watch_fleet.cpp
+++ b/tests/io/watch_fleet.cpp
@@ -110,15 +110,17 @@
 
     core::TimePoint startDelay() { return this->network.now() + std::uniform_int_distribution<int>(0, 1000)(this->random) * 1ms; }
 
+    static core::StorePosition at(std::uint64_t revision) { return { .era = 0, .revision = revision }; }
+
     static core::Object objectAt(std::uint64_t revision)
     {
-        return { .kind = kindName, .name = "a", .version = { .revision = revision, .version = 0 }, .deleted = false, .content = "{}" };
+        return { .kind = kindName, .name = "a", .version = { .revision = 0, .version = core::packPosition(at(revision)) }, .deleted = false, .content = "{}" };
     }
 
     std::uint64_t knownRevision(int number)
     {
         const auto objects = this->network.snapshot(number).objects;
-        return objects.empty() ? 0 : objects[0]->version.revision;
+        return objects.empty() ? 0 : core::positionOf(objects[0]->version).revision;
     }
 
     std::size_t rankOf(int number)
@@ -161,15 +163,15 @@
         if (now < pending.sentAt + roundTrip + (hasChanged || isList ? core::Duration {} : pending.call.wait))
             return;
         member.pending.reset();
-        std::vector<core::Object> accepted = isList ? member.watcher.handleList({ objectAt(this->revision) }, this->revision, now)
-            : hasChanged                            ? member.watcher.handleChanges({ objectAt(this->revision) }, this->revision, now)
-                                                    : member.watcher.handleChanges({}, this->revision, now);
+        std::vector<core::Object> accepted = isList ? member.watcher.handleList({ objectAt(this->revision) }, at(this->revision), now)
+            : hasChanged                            ? member.watcher.handleChanges({ objectAt(this->revision) }, at(this->revision), now)
+                                                    : member.watcher.handleChanges({}, at(this->revision), now);
         const fleet::Propagation propagation = this->rankOf(number) == 0 ? fleet::Propagation::Gossip : fleet::Propagation::OnSync;
-        this->network.call(number, [&](auto& node, auto at, auto&) {
+        this->network.call(number, [&](auto& node, auto time, auto&) {
             for (core::Object& object : accepted)
-                node.publish(std::move(object), at, propagation);
+                node.publish(std::move(object), time, propagation);
             if (!isList)
-                node.confirm(kindName, member.watcher.lastChange(), at);
+                node.confirm(kindName, core::packPosition(member.watcher.lastChange()), time);
         });
     }
 
@@ -178,14 +180,14 @@
         const core::TimePoint now = this->network.now();
         member.superviseAt = now + superviseInterval;
         const fleet::Snapshot snapshot = this->network.snapshot(number);
-        const std::uint64_t known = snapshot.objects.empty() ? 0 : snapshot.objects[0]->version.revision;
+        const std::uint64_t known = snapshot.objects.empty() ? 0 : core::positionOf(snapshot.objects[0]->version).revision;
         const std::optional<fleet::Confirmation> confirmation = this->network.node(number).confirmation(kindName);
         std::optional<core::TimePoint> confirmedAt = member.watcher.confirmedAt();
-        if (confirmation && confirmation->revision <= known)
+        if (confirmation && confirmation->revision <= core::packPosition(at(known)))
             confirmedAt = std::max(confirmedAt.value_or(confirmation->at), confirmation->at);
         if (confirmedAt)
             this->oldestAge = std::max(this->oldestAge, now - *confirmedAt);
-        member.watcher.setFleetKnowledge({ .rank = fleet::rankFor(kindName, snapshot.members, snapshot.self), .members = snapshot.members.size(), .newestRevision = known, .confirmedAt = confirmedAt }, now);
+        member.watcher.setFleetKnowledge({ .rank = fleet::rankFor(kindName, snapshot.members, snapshot.self), .members = snapshot.members.size(), .newest = at(known), .confirmedAt = confirmedAt }, now);
         if (member.pending && member.pending->call.kind == store::WatcherCallKind::Watch && member.watcher.replacementTime() <= now) {
             member.pending.reset();
             member.watcher.recordReplacement(now);
