Take a state that the copy holds unchanged for no news

Found by reading: after a return, every object of the first list had a later era and so counted as newer. The VM that asks the store for all would have gossiped the entries of all backend servers at once, which the fleet fetches from it: about 0.5 MB a VM with a thousand servers, 97 MB with 195 VMs (computed from 500 bytes an entry, not measured). A state with the same writer's order, revision and content as the known one is the known one.

--- a/src/store/known_objects.cpp
+++ b/src/store/known_objects.cpp
@@ -1,5 +1,7 @@
 #include "store/known_objects.h"
 
+#include "core/hash.h"
+
 #include <utility>
 
 namespace cranberryshed::store {
@@ -19,26 +21,35 @@
 
 }
 
-bool KnownObjects::acceptState(core::Object& object, ReportKind report)
+// Whether the state is the known one as the copy holds it, in the era that began with the copy.
+bool KnownObjects::isInCopy(const core::Object& object, const Known& known) const
 {
-    const auto [found, added] = this->objects.try_emplace(object.name, Known { .version = object.version });
-    if (added)
-        return true;
+    return !known.isRemoved && object.version.revision == known.version.revision && core::positionOf(object.version).revision == core::positionOf(known.version).revision
+        && core::hashBytes(object.content) == known.contentHash;
+}
+
+StateVerdict KnownObjects::acceptState(core::Object& object, ReportKind report)
+{
+    const auto [found, added] = this->objects.try_emplace(object.name);
     Known& known = found->second;
-    const core::StorePosition at = core::positionOf(object.version);
-    const core::StorePosition knownAt = core::positionOf(known.version);
-    const bool isLater = at > knownAt && (report == ReportKind::Change || at.era == knownAt.era);
-    if (isLater && this->writerOrder == core::WriterOrder::Lifecycle)
-        object.version.revision = std::max(object.version.revision, core::succeedingRevision(known.version.revision, this->writerOrder));
-    const bool isRestored = core::stageOf(known.version) == core::PositionStage::HeldRemoved && isSamePosition(object.version, known.version);
-    if (isRestored)
-        object.version.version = core::packPosition(at, core::PositionStage::Restored);
-    if (object.version <= known.version) {
-        this->ignore(object, known);
-        return false;
+    if (!added) {
+        const core::StorePosition at = core::positionOf(object.version);
+        const core::StorePosition knownAt = core::positionOf(known.version);
+        const bool isLater = at > knownAt && (report == ReportKind::Change || at.era == knownAt.era);
+        if (isLater && this->writerOrder == core::WriterOrder::Lifecycle)
+            object.version.revision = std::max(object.version.revision, core::succeedingRevision(known.version.revision, this->writerOrder));
+        const bool isRestored = core::stageOf(known.version) == core::PositionStage::HeldRemoved && isSamePosition(object.version, known.version);
+        if (isRestored)
+            object.version.version = core::packPosition(at, core::PositionStage::Restored);
+        if (object.version == known.version || this->isInCopy(object, known))
+            return StateVerdict::Same;
+        if (object.version < known.version) {
+            this->ignore(object, known);
+            return StateVerdict::Older;
+        }
     }
-    known = { .version = object.version };
-    return true;
+    known = { .version = object.version, .contentHash = core::hashBytes(object.content) };
+    return StateVerdict::Newer;
 }
 
 bool KnownObjects::isHeldRemovable(const core::Object& object) const
@@ -99,7 +110,7 @@
 {
     const auto [found, added] = this->objects.try_emplace(object.name);
     if (added || found->second.version < object.version)
-        found->second = { .version = object.version, .isRemoved = object.deleted, .removedAt = now };
+        found->second = { .version = object.version, .contentHash = core::hashBytes(object.content), .isRemoved = object.deleted, .removedAt = now };
 }
 
 std::set<std::string> KnownObjects::existingNames() const
--- a/src/store/known_objects.h
+++ b/src/store/known_objects.h
@@ -17,6 +17,13 @@
     Listed, // by a list: it can also be an old state that came back with a copy of the store
 };
 
+// How a reported state compares with the known one.
+enum class StateVerdict : std::uint8_t {
+    Newer, // it is known from then on
+    Same, // the known state, reported once more
+    Older,
+};
+
 // A state of an object that the store reported although a newer one is known.
 struct IgnoredState {
     std::string name;
@@ -33,8 +40,8 @@
     {
     }
 
-    // Returns whether the state is newer than the known one. If so, it is known from then on.
-    bool acceptState(core::Object&, ReportKind);
+    // Compares the state with the known one and gives it its version.
+    StateVerdict acceptState(core::Object&, ReportKind);
 
     // Whether a listed state can have come back with the copy of an earlier era in which it was removed later.
     bool isHeldRemovable(const core::Object&) const;
@@ -58,10 +65,13 @@
 private:
     struct Known {
         core::ObjectVersion version;
+        std::uint64_t contentHash = 0;
         bool isRemoved = false;
         core::TimePoint removedAt {};
     };
 
+    bool isInCopy(const core::Object&, const Known&) const;
+
     void ignore(const core::Object&, const Known&);
     void forgetOldRemovals(core::TimePoint now);
 
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -90,7 +90,7 @@
     for (core::Object& object : objects) {
         missing.erase(object.name);
         this->lastChangeSeen = std::max(this->lastChangeSeen, core::positionOf(object.version));
-        kept += this->applyListed(std::move(object), now, accepted) ? 0 : 1;
+        kept += this->applyListed(std::move(object), now, accepted) == StateVerdict::Older ? 1 : 0;
     }
     for (const std::string& name : missing)
         this->applyRemoval({ .kind = this->options.kind, .name = name, .version = { .revision = 0, .version = core::packPosition(position, core::PositionStage::Removed) }, .deleted = true, .content = {} }, ReportKind::Listed, now, accepted);
@@ -167,25 +167,25 @@
     this->nextCallTime = now + this->options.batchDelay;
 }
 
-// Returns false if the listed state contradicts what is known and is not taken.
-bool ObjectWatcher::applyListed(core::Object object, core::TimePoint now, std::vector<core::Object>& accepted)
+// Returns Older if the listed state contradicts what is known and is not taken.
+StateVerdict ObjectWatcher::applyListed(core::Object object, core::TimePoint now, std::vector<core::Object>& accepted)
 {
     this->heldRemovals.erase(object.name);
     if (this->isSettling(now) && this->known.isHeldRemovable(object)) {
         this->known.holdRemoved(object, now);
         accepted.push_back(std::move(object));
-        return false;
+        return StateVerdict::Older;
     }
-    if (!this->known.acceptState(object, ReportKind::Listed))
-        return false;
-    accepted.push_back(std::move(object));
-    return true;
+    const StateVerdict verdict = this->known.acceptState(object, ReportKind::Listed);
+    if (verdict == StateVerdict::Newer)
+        accepted.push_back(std::move(object));
+    return verdict;
 }
 
 void ObjectWatcher::applyChange(core::Object object, core::TimePoint, std::vector<core::Object>& accepted)
 {
     this->heldRemovals.erase(object.name);
-    if (this->known.acceptState(object, ReportKind::Change))
+    if (this->known.acceptState(object, ReportKind::Change) == StateVerdict::Newer)
         accepted.push_back(std::move(object));
 }
 
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -161,7 +161,7 @@
     void beginEra(core::StorePosition, core::TimePoint now);
     bool isSettling(core::TimePoint now) const { return this->settleUntil && now < *this->settleUntil; }
     void requireCurrentList(core::TimePoint now);
-    bool applyListed(core::Object, core::TimePoint now, std::vector<core::Object>& accepted);
+    StateVerdict applyListed(core::Object, core::TimePoint now, std::vector<core::Object>& accepted);
     void applyChange(core::Object, core::TimePoint now, std::vector<core::Object>& accepted);
     void applyRemoval(core::Object, ReportKind, core::TimePoint now, std::vector<core::Object>& accepted);
 
