--- a/src/fleet/objects.cpp
+++ b/src/fleet/objects.cpp
@@ -231,6 +231,12 @@
     return result;
 }
 
+std::shared_ptr<const core::Object> Objects::find(const core::Object& object) const
+{
+    const auto known = this->entries.find(objectIdOf(object));
+    return known == this->entries.end() ? nullptr : known->second.object;
+}
+
 std::optional<MemberId> Objects::senderOf(const core::Object& object) const
 {
     const auto known = this->entries.find(objectIdOf(object));
--- a/src/fleet/objects.h
+++ b/src/fleet/objects.h
@@ -58,6 +58,8 @@
     std::uint64_t changes() const { return this->changeCount; }
     std::vector<std::shared_ptr<const core::Object>> objects() const; // without items; ordered by kind and name
     std::vector<Item> items(core::TimePoint now) const; // neither withdrawn nor expired
+    // The version of the object that is held, also a deletion; null if there is none.
+    std::shared_ptr<const core::Object> find(const core::Object&) const;
     // The member that sent the version of the object that is held; nothing if it was published here or is unknown.
     std::optional<MemberId> senderOf(const core::Object&) const;
 
--- a/src/fleet/pipeline.h
+++ b/src/fleet/pipeline.h
@@ -126,6 +126,9 @@
     // A member's record, or null if there is none. Valid until the next call of a non-const function.
     const MemberRecord* member(MemberId id) const { return this->membership.find(id); }
 
+    // The version of an object that this member holds, also a deletion; null if there is none.
+    std::shared_ptr<const core::Object> find(const core::Object& object) const { return this->objects.find(object); }
+
     // The member that sent the version of the object that is held; nothing if it was published here or is unknown.
     std::optional<MemberId> senderOf(const core::Object& object) const { return this->objects.senderOf(object); }
 
--- a/src/store/known_objects.h
+++ b/src/store/known_objects.h
@@ -53,7 +53,7 @@
     // Returns whether the removal is newer than the known state. If so, it is known from then on.
     bool acceptRemoval(const core::Object& removal, core::TimePoint now);
 
-    // Takes over what other members know of an object.
+    // Takes over a state that the watcher didn't report.
     void learn(const core::Object&, core::TimePoint now);
 
     // The names of the objects that exist.
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -104,7 +104,8 @@
     // due within a moment that grows with the fleet, so that not all members list at once.
     void recordReturn(core::TimePoint now, core::RandomEngine& random);
 
-    // Takes over what other members know of an object, before the first list of a new era.
+    // Takes over what this member holds of an object, from whatever source. To be called before an answer that reports the
+    // object is handled; for all objects of the kind before the first list of an era.
     void learn(const core::Object& object, core::TimePoint now) { this->known.learn(object, now); }
 
     // The first list of a new era, if there was one since the last call of this function.
