Hold a removal against the copy only where no writer's order decides

Without effect on what is in force: for servers, the held removal was below the known one and was dropped by the fleet's objects, but each return wrote it once more.

--- a/src/store/known_objects.cpp
+++ b/src/store/known_objects.cpp
@@ -55,14 +55,14 @@
 bool KnownObjects::isHeldRemovable(const core::Object& object) const
 {
     const auto found = this->objects.find(object.name);
-    if (found == this->objects.end() || !found->second.isRemoved)
+    if (this->writerOrder != core::WriterOrder::None || found == this->objects.end() || !found->second.isRemoved)
         return false;
     const core::ObjectVersion& removal = found->second.version;
     const core::StorePosition at = core::positionOf(object.version);
     const core::StorePosition removedAt = core::positionOf(removal);
     const bool isFromCopy = removedAt.era < at.era && at.revision <= removedAt.revision;
     const bool isHeldAlready = core::stageOf(removal) == core::PositionStage::HeldRemoved && at == removedAt;
-    return object.version.revision <= removal.revision && (isFromCopy || isHeldAlready);
+    return isFromCopy || isHeldAlready;
 }
 
 void KnownObjects::holdRemoved(core::Object& object, core::TimePoint now)
--- a/src/store/known_objects.h
+++ b/src/store/known_objects.h
@@ -43,7 +43,8 @@
     // Compares the state with the known one and gives it its version.
     StateVerdict acceptState(core::Object&, ReportKind);
 
-    // Whether a listed state can have come back with the copy of an earlier era in which it was removed later.
+    // Whether a listed state can have come back with the copy of an earlier era in which it was removed later, and its
+    // writer states no order that would show it.
     bool isHeldRemovable(const core::Object&) const;
     // Turns such a state into a removal that is newer than it.
     void holdRemoved(core::Object&, core::TimePoint now);
