Take an evacuation of the new era from the first list

An evacuation that the operator orders between the store's return and a VM's first list was held like one that had been lifted and came back with the copy, if its revision was not above that of the lost removal: for 3 s, and on all VMs, because a held removal wins over the state in the fleet. 2.5 s are allowed.

The copy can only hold states that the removal ended. So the revision of the last state before the removal decides, and no longer that of the removal. Revisions between the two belong to the new era.

What remains: if the last state before the removal was itself lost, revisions up to its own can't be told apart.

--- a/src/store/known_objects.cpp
+++ b/src/store/known_objects.cpp
@@ -60,7 +60,7 @@
     const core::ObjectVersion& removal = found->second.version;
     const core::StorePosition at = core::positionOf(object.version);
     const core::StorePosition removedAt = core::positionOf(removal);
-    const bool isFromCopy = removedAt.era < at.era && at.revision <= removedAt.revision;
+    const bool isFromCopy = removedAt.era < at.era && at.revision <= found->second.lastRevision;
     const bool isHeldAlready = core::stageOf(removal) == core::PositionStage::HeldRemoved && at == removedAt;
     return isFromCopy || isHeldAlready;
 }
@@ -102,15 +102,26 @@
     const auto [found, added] = this->objects.try_emplace(removal.name);
     if (!added && found->second.version >= removal.version)
         return false;
-    found->second = { .version = removal.version, .isRemoved = true, .removedAt = now };
+    const std::uint64_t lastRevision = added ? core::positionOf(removal.version).revision : lastStoreRevision(found->second);
+    found->second = { .version = removal.version, .isRemoved = true, .removedAt = now, .lastRevision = lastRevision };
     return true;
 }
 
 void KnownObjects::learn(const core::Object& object, core::TimePoint now)
 {
+    if (object.deleted) {
+        this->acceptRemoval(object, now);
+        return;
+    }
     const auto [found, added] = this->objects.try_emplace(object.name);
     if (added || found->second.version < object.version)
-        found->second = { .version = object.version, .contentHash = core::hashBytes(object.content), .isRemoved = object.deleted, .removedAt = now };
+        found->second = { .version = object.version, .contentHash = core::hashBytes(object.content) };
+}
+
+// The store's revision of the object's last state. That of a removal that was learned alone is an upper bound.
+std::uint64_t KnownObjects::lastStoreRevision(const Known& known)
+{
+    return known.isRemoved ? known.lastRevision : core::positionOf(known.version).revision;
 }
 
 std::set<std::string> KnownObjects::existingNames() const
--- a/src/store/known_objects.h
+++ b/src/store/known_objects.h
@@ -69,10 +69,12 @@
         std::uint64_t contentHash = 0;
         bool isRemoved = false;
         core::TimePoint removedAt {};
+        std::uint64_t lastRevision = 0; // of a removed object: the store's revision of its last state
     };
 
     bool isInCopy(const core::Object&, const Known&) const;
 
+    static std::uint64_t lastStoreRevision(const Known&);
     void ignore(const core::Object&, const Known&);
     void forgetOldRemovals(core::TimePoint now);
 
--- a/tests/io/store_return_watcher.cpp
+++ b/tests/io/store_return_watcher.cpp
@@ -95,6 +95,24 @@
     CHECK_FALSE(vm.hasTurnedBack());
 }
 
+// Guards against a hold that keeps off an evacuation that the operator ordered after the return, just before this VM's
+// first list.
+TEST_CASE("an evacuation of the new era is taken from the first list", "[store-return-watcher]")
+{
+    ReturningStore store;
+    store.write(evacuations, "alp-a", noOrder);
+    store.keepCopy();
+    Follower vm(store, evacuations);
+    vm.poll();
+    store.writeOthers(20);
+    store.remove(evacuations, "alp-a");
+    vm.poll();
+    store.comeBack();
+    store.write(evacuations, "alp-a", noOrder);
+    vm.run(1s);
+    CHECK(vm.find("alp-a"));
+}
+
 // Guards against a VM that starts after the return and ends with another state than the others.
 TEST_CASE("a VM that knows only the copy agrees with one that holds a removal", "[store-return-watcher]")
 {
