Let two answers state a later era before it counts

A single answer with too high an era was believed.

Cause: all that the VM publishes gets the era of its answers, so its objects beat everything in the fleet, and the era never goes down again. Ruled out: a lower limit than 1,000 eras ahead, since an era that is one too high does the same.

A later era now counts when two answers in a row state it; the first counts as lost. That is one call more for each VM and return. Answers that alternate between two later eras count from the lower one.

What remains: the first answer after a start is still believed alone.

--- a/src/store/client_impl.h
+++ b/src/store/client_impl.h
@@ -130,14 +130,14 @@
 }
 
 // Sets the era to which the answer belongs. An answer of an earlier era counts as lost: what it reports, or has done to
-// the store, need not hold in the present one.
+// the store, need not hold in the present one. So does one of a later era that is not confirmed.
 template <Transport TransportType, ObjectApi ApiType>
 void Client<TransportType, ApiType>::readEra(Answer& answer)
 {
     const EraReading reading = this->eraTracker.read(answer.response.era, this->transport.now());
     ++this->answersByVerdict[static_cast<std::size_t>(reading.verdict)];
     answer.era = reading.era;
-    if (reading.verdict == EraVerdict::Earlier)
+    if (reading.verdict == EraVerdict::Earlier || reading.verdict == EraVerdict::Unconfirmed)
         answer.response.outcome = ExchangeOutcome::Lost;
 }
 
--- a/src/store/era_tracker.cpp
+++ b/src/store/era_tracker.cpp
@@ -2,7 +2,9 @@
 
 #include "core/object_order.h"
 
+#include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace cranberryshed::store {
 
@@ -31,15 +33,33 @@
     const std::optional<std::uint64_t> stated = parseEra(*statedEra);
     if (!stated || (this->era && *stated > *this->era + maxAdvance))
         return { .era = this->current(), .verdict = EraVerdict::Unreadable };
-    if (this->era && *stated < *this->era) {
-        this->earlierSince = this->earlierSince.value_or(now);
-        const bool isMistaken = now - *this->earlierSince >= maxEarlierTime;
-        return { .era = isMistaken ? *this->era : *stated, .verdict = isMistaken ? EraVerdict::Unreadable : EraVerdict::Earlier };
-    }
+    const std::optional<std::uint64_t> statedBefore = std::exchange(this->laterEra, std::nullopt);
+    if (this->era && *stated < *this->era)
+        return this->readEarlier(*stated, now);
     this->earlierSince.reset();
-    const bool hasAdvanced = this->era && *stated > *this->era;
+    if (this->era && *stated > *this->era)
+        return this->readLater(*stated, statedBefore);
     this->era = stated;
-    return { .era = *stated, .verdict = hasAdvanced ? EraVerdict::Advanced : EraVerdict::Current };
+    return { .era = *stated, .verdict = EraVerdict::Current };
+}
+
+EraReading EraTracker::readEarlier(std::uint64_t stated, core::TimePoint now)
+{
+    this->earlierSince = this->earlierSince.value_or(now);
+    if (now - *this->earlierSince >= maxEarlierTime)
+        return { .era = *this->era, .verdict = EraVerdict::Unreadable };
+    return { .era = stated, .verdict = EraVerdict::Earlier };
+}
+
+// `statedBefore`: by the answer before, if that was a later era, too.
+EraReading EraTracker::readLater(std::uint64_t stated, std::optional<std::uint64_t> statedBefore)
+{
+    if (statedBefore)
+        this->era = std::min(stated, *statedBefore);
+    if (stated == *this->era)
+        return { .era = stated, .verdict = EraVerdict::Advanced };
+    this->laterEra = stated;
+    return { .era = stated, .verdict = EraVerdict::Unconfirmed };
 }
 
 }
