Make a second list when a peer's state contradicts the store

Cause: a watcher reports only what is newer than what it knows itself. What a peer published, and what the peer would have corrected, stays in the fleet when the peer ends.

The feed now tells the watcher each state that this VM takes from a peer. If the store should have reported it already, that is, its position isn't after what the watcher has seen, and it differs by more than its version, a list is due after settleTime. An object that was learned is held by its era when the list lacks it, so that a VM that starts after a return doesn't end the hold of the others.

--- a/src/store/known_objects.cpp
+++ b/src/store/known_objects.cpp
@@ -107,15 +107,25 @@
     return true;
 }
 
-void KnownObjects::learn(const core::Object& object, core::TimePoint now)
+bool KnownObjects::learn(const core::Object& object, core::TimePoint now)
 {
+    const auto found = this->objects.find(object.name);
+    const Known before = found == this->objects.end() ? Known { .version = {}, .isRemoved = true } : found->second;
+    if (before.version >= object.version)
+        return false;
     if (object.deleted) {
         this->acceptRemoval(object, now);
-        return;
+        return !before.isRemoved || core::stageOf(object.version) == core::PositionStage::HeldRemoved;
     }
-    const auto [found, added] = this->objects.try_emplace(object.name);
-    if (added || found->second.version < object.version)
-        found->second = { .version = object.version, .contentHash = core::hashBytes(object.content) };
+    const std::uint64_t contentHash = core::hashBytes(object.content);
+    this->objects.insert_or_assign(object.name, Known { .version = object.version, .contentHash = contentHash });
+    return before.isRemoved || before.contentHash != contentHash;
+}
+
+bool KnownObjects::isOfEarlierEra(const std::string& name, std::uint64_t era) const
+{
+    const auto found = this->objects.find(name);
+    return found != this->objects.end() && core::positionOf(found->second.version).era < era;
 }
 
 // The store's revision of the object's last state. That of a removal that was learned alone is an upper bound.
--- a/src/store/known_objects.h
+++ b/src/store/known_objects.h
@@ -54,8 +54,12 @@
     // Returns whether the removal is newer than the known state. If so, it is known from then on.
     bool acceptRemoval(const core::Object& removal, core::TimePoint now);
 
-    // Takes over a state that the watcher didn't report.
-    void learn(const core::Object&, core::TimePoint now);
+    // Takes over a state that the watcher didn't report, if it is newer. Returns whether it differs from the known state by
+    // more than its version.
+    bool learn(const core::Object&, core::TimePoint now);
+
+    // Whether the known state of the object is of an earlier era.
+    bool isOfEarlierEra(const std::string& name, std::uint64_t era) const;
 
     // The names of the objects that exist.
     std::set<std::string> existingNames() const;
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -81,6 +81,8 @@
     const bool isFirstOfEra = this->isReturn(position);
     if (isFirstOfEra)
         this->beginEra(position, now);
+    else if (!this->listedEra)
+        this->holdAbsencesUntil = now + this->options.absenceHoldTime;
     else if (!this->isSettling(now))
         this->settleUntil.reset();
     this->listedEra = position.era;
@@ -103,6 +105,13 @@
     return accepted;
 }
 
+void ObjectWatcher::learn(const core::Object& object, core::TimePoint now)
+{
+    const bool contradictsStore = this->known.learn(object, now) && core::positionOf(object.version) <= this->reached();
+    if (contradictsStore && !this->settleUntil)
+        this->settleUntil = now + this->options.settleTime;
+}
+
 void ObjectWatcher::beginEra(core::StorePosition position, core::TimePoint now)
 {
     this->lastReturn = StoreReturn { .previousEra = *this->listedEra, .era = position.era };
@@ -193,7 +202,8 @@
 {
     if (!this->known.isNewerRemoval(object, report))
         return;
-    const core::TimePoint holdUntil = report == ReportKind::Listed ? std::max(this->holdRemovalsUntil, this->holdAbsencesUntil) : this->holdRemovalsUntil;
+    const bool canBeLost = report == ReportKind::Listed && this->known.isOfEarlierEra(object.name, core::positionOf(object.version).era);
+    const core::TimePoint holdUntil = canBeLost ? std::max(this->holdRemovalsUntil, this->holdAbsencesUntil) : this->holdRemovalsUntil;
     if (now < holdUntil) {
         const std::string name = object.name;
         this->heldRemovals.try_emplace(name, HeldRemoval { .object = std::move(object), .until = holdUntil });
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -104,9 +104,11 @@
     // due within a moment that grows with the fleet, so that not all members list at once.
     void recordReturn(core::TimePoint now, core::RandomEngine& random);
 
-    // Takes over what this member holds of an object, from whatever source. To be called before an answer that reports the
-    // object is handled; for all objects of the kind before the first list of an era.
-    void learn(const core::Object& object, core::TimePoint now) { this->known.learn(object, now); }
+    // Takes over what this member holds of an object, from whatever source. To be called when it gets a new state from a
+    // peer, before an answer that reports the object is handled, and for all objects of the kind before the first list of an
+    // era. If the store should have reported the state to this member already, a list is due after `settleTime`: the member
+    // that published it can end before it corrects it.
+    void learn(const core::Object&, core::TimePoint now);
 
     // The first list of a new era, if there was one since the last call of this function.
     std::optional<StoreReturn> takeReturn() { return std::exchange(this->lastReturn, std::nullopt); }
@@ -182,8 +184,8 @@
     Consistency listConsistency = Consistency::Stale; // of the next list
     core::TimePoint nextCallTime {};
     core::TimePoint holdRemovalsUntil {}; // removals that are seen before this time are held until then
-    core::TimePoint holdAbsencesUntil {}; // the same for removals that only show as an absence from a list
-    std::optional<core::TimePoint> settleUntil; // when the second list after the store's return is due; empty: none is
+    core::TimePoint holdAbsencesUntil {}; // the same for objects of an earlier era that are missing from a list
+    std::optional<core::TimePoint> settleUntil; // when a second list is due; empty: none is
     std::optional<StoreReturn> lastReturn;
 };
 
--- a/tests/io/store_return_fleet.cpp
+++ b/tests/io/store_return_fleet.cpp
@@ -122,6 +122,34 @@
     }
 }
 
+// Guards against a VM that has just started, is the only one left and keeps what its dead peers had held.
+TEST_CASE("a member that started during a return and is left alone follows the store", "[store-return-fleet]")
+{
+    WatchFleet::Options options = fleetOf(1);
+    options.store.reportsRemovalsWithLastRevision = GENERATE(false, true);
+    WatchFleet fleet(options);
+    fleet.write(evacuations, "lifted", noOrder);
+    fleet.run(5s);
+    fleet.keepCopy();
+    fleet.remove(evacuations, "lifted");
+    fleet.run(5s);
+    fleet.comeBack(1s);
+    fleet.run(1s);
+    fleet.start(1);
+    fleet.run(1500ms);
+    SECTION("while a removal is held")
+    {
+        fleet.crash(0);
+    }
+    SECTION("after the hold")
+    {
+        fleet.run(5s);
+        fleet.crash(0);
+        fleet.remove(evacuations, "lifted");
+    }
+    CHECK(fleet.agreementTime(60s).has_value());
+}
+
 // Guards against a return that makes all members list at the same moment, or go on calling.
 TEST_CASE("a return costs a bounded number of calls", "[store-return-fleet]")
 {
--- a/tests/io/watch_fleet.h
+++ b/tests/io/watch_fleet.h
@@ -408,6 +408,7 @@
                 if (object->kind == watcher.kind())
                     newest = std::max(newest, core::positionOf(object->version));
             }
+            this->learnAllHeld(number, watcher);
             const std::optional<fleet::Confirmation> confirmation = this->network.node(number).confirmation(watcher.kind());
             std::optional<core::TimePoint> confirmedAt = watcher.confirmedAt();
             if (confirmation && confirmation->revision <= core::packPosition(std::max(newest, watcher.reached())))
