--- a/tests/io/store_standin.cpp
+++ b/tests/io/store_standin.cpp
@@ -248,3 +248,20 @@
     standIn.changeFaults([](platform::StoreFaults& faults) { faults = { .statesEra = false }; });
     check(list, 200, "");
 }
+
+// Guards against a drill in `dev` that doesn't lose what was written after its begin, or doesn't end.
+TEST_CASE("the drill brings the store back from a copy of its begin", "[standin]")
+{
+    test::PlatformFixture fixture(0);
+    fixture.store.createOrReplace("evacuations", "north-1", "{}");
+    test::RawClient client(fixture.store.endpoint());
+    CHECK(client.ask("PUT /control HTTP/1.1\r\nContent-Length: 21\r\n\r\n{\"returnAfterMs\":200}").status() == 200);
+    fixture.store.remove("evacuations", "north-1");
+    const auto lookUp = [&] { return test::RawClient(fixture.store.endpoint()).ask(test::get("/api/objects/evacuations/north-1")); };
+    CHECK(lookUp().status() == 404);
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    CHECK(lookUp().status() == 503);
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    CHECK(lookUp().status() == 200);
+    CHECK(lookUp().field("Store-Era") == "2");
+}
