--- a/src/fleet/confirmations.h
+++ b/src/fleet/confirmations.h
@@ -10,7 +10,7 @@
 
 // A statement of the store that an entry VM has received: no object of a kind changed after `revision` until `at`.
 struct Confirmation {
-    std::uint64_t revision = 0; // the store's revision of the last change of the kind
+    std::uint64_t revision = 0; // the position of the last change of the kind, as core::packPosition() gives it
     core::TimePoint at {};
 };
 
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -39,7 +39,7 @@
 void ObjectWatcher::setFleetKnowledge(const FleetKnowledge& knowledge, core::TimePoint now)
 {
     this->fleet = knowledge;
-    if (knowledge.newest <= this->reached())
+    if (knowledge.newest <= std::max(this->reached(), this->newestWhenAnswered))
         this->behindSince.reset();
     else if (!this->behindSince)
         this->behindSince = now;
@@ -67,6 +67,7 @@
 void ObjectWatcher::recordReplacement(core::TimePoint now)
 {
     this->isReplacing = true;
+    this->newestWhenReplaced = this->fleet.newest;
     this->nextCallTime = now;
     if (this->settleUntil && now >= *this->settleUntil)
         this->requireCurrentList(now);
@@ -171,7 +172,8 @@
     if (this->failures > 0 && this->options.removalHoldTime > core::Duration::zero())
         this->holdRemovalsUntil = now + this->options.removalHoldTime;
     this->failures = 0;
-    this->isReplacing = false;
+    if (std::exchange(this->isReplacing, false))
+        this->newestWhenAnswered = this->newestWhenReplaced;
     this->lastAnswerAt = now;
     this->nextCallTime = now + this->options.batchDelay;
 }
@@ -206,7 +208,7 @@
     const core::TimePoint holdUntil = canBeLost ? std::max(this->holdRemovalsUntil, this->holdAbsencesUntil) : this->holdRemovalsUntil;
     if (now < holdUntil) {
         const std::string name = object.name;
-        this->heldRemovals.try_emplace(name, HeldRemoval { .object = std::move(object), .until = holdUntil });
+        this->heldRemovals.insert_or_assign(name, HeldRemoval { .object = std::move(object), .until = holdUntil });
         return;
     }
     this->heldRemovals.erase(object.name);
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -58,7 +58,7 @@
 // writer itself orders are newer or not by that order. Otherwise what was known to be in force is held for a while,
 // because its writer may have to repeat it: a removed object that came back for `settleTime`, one that is missing for
 // `absenceHoldTime`. Changes that a watch reports were made after the return and end the hold. A second list after
-// `settleTime` is taken as it is.
+// `settleTime` ends it for removed objects.
 class ObjectWatcher {
 public:
     struct Options {
@@ -178,6 +178,10 @@
     core::StorePosition lastChangeSeen;
     FleetKnowledge fleet;
     std::optional<core::TimePoint> behindSince; // since when another member knows a later change
+    // FleetKnowledge::newest when a watch was last replaced, and when a call that replaced one was last answered. If the
+    // store then still doesn't report that change, it no longer holds it, and asking again doesn't help.
+    core::StorePosition newestWhenReplaced;
+    core::StorePosition newestWhenAnswered;
     core::TimePoint lastAnswerAt {};
     bool isReplacing = false; // the next watch must not wait for changes
     unsigned failures = 0; // consecutive
