--- a/tests/io/store_return_fixture.h
+++ b/tests/io/store_return_fixture.h
@@ -134,6 +134,31 @@
     bool turnedBack = false; // a published version was no later than the one before
 };
 
+// A store with a watcher that has followed it until the copy was made.
+struct FollowedStore {
+    explicit FollowedStore(const std::string& kind, ReturningStore::Options options = {})
+        : store(options)
+        , vm(store, kind)
+    {
+    }
+
+    void keepCopy()
+    {
+        this->store.keepCopy();
+        this->vm.poll();
+    }
+
+    // Writes an object that the copy then holds.
+    void keepCopyWith(const std::string& name, std::uint64_t writerRevision, const std::string& content = "{}")
+    {
+        this->store.write(this->vm.state().kind(), name, writerRevision, content);
+        this->keepCopy();
+    }
+
+    ReturningStore store;
+    Follower vm;
+};
+
 // The writers of the objects of one kind. They keep their last states, and write them again after a return.
 class Writers {
 public:
--- a/tests/io/store_return_watcher.cpp
+++ b/tests/io/store_return_watcher.cpp
@@ -11,11 +11,9 @@
 // Guards against a configuration that goes back with the store, and against new ones that are turned down afterwards.
 TEST_CASE("a configuration stays in force when the copy holds an older one", "[store-return-watcher]")
 {
-    ReturningStore store;
-    store.write(configurations, "main", configuration(3), "three");
-    store.keepCopy();
-    Follower vm(store, configurations);
-    vm.poll();
+    FollowedStore followed(configurations);
+    auto& [store, vm] = followed;
+    followed.keepCopyWith("main", configuration(3), "three");
     store.writeOthers(40);
     store.write(configurations, "main", configuration(7), "seven");
     vm.poll();
@@ -37,10 +35,9 @@
 // Guards against a configuration that is dropped because the copy is older than the first one.
 TEST_CASE("a configuration that the copy lacks stays in force", "[store-return-watcher]")
 {
-    ReturningStore store;
-    store.keepCopy();
-    Follower vm(store, configurations);
-    vm.poll();
+    FollowedStore followed(configurations);
+    auto& [store, vm] = followed;
+    followed.keepCopy();
     store.write(configurations, "main", configuration(7), "seven");
     vm.poll();
     store.comeBack();
@@ -54,11 +51,9 @@
 // Guards against a lifted evacuation that is in force again because the copy holds it.
 TEST_CASE("a lifted evacuation that came back is held", "[store-return-watcher]")
 {
-    ReturningStore store({ .reportsRemovalsWithLastRevision = GENERATE(false, true) });
-    store.write(evacuations, "alp-a", noOrder);
-    store.keepCopy();
-    Follower vm(store, evacuations);
-    vm.poll();
+    FollowedStore followed(evacuations, { .reportsRemovalsWithLastRevision = GENERATE(false, true) });
+    auto& [store, vm] = followed;
+    followed.keepCopyWith("alp-a", noOrder);
     REQUIRE(vm.find("alp-a"));
     store.writeOthers(20);
     store.remove(evacuations, "alp-a");
@@ -99,11 +94,9 @@
 // first list.
 TEST_CASE("an evacuation of the new era is taken from the first list", "[store-return-watcher]")
 {
-    ReturningStore store;
-    store.write(evacuations, "alp-a", noOrder);
-    store.keepCopy();
-    Follower vm(store, evacuations);
-    vm.poll();
+    FollowedStore followed(evacuations);
+    auto& [store, vm] = followed;
+    followed.keepCopyWith("alp-a", noOrder);
     store.writeOthers(20);
     store.remove(evacuations, "alp-a");
     vm.poll();
@@ -116,11 +109,9 @@
 // Guards against a VM that starts after the return and ends with another state than the others.
 TEST_CASE("a VM that knows only the copy agrees with one that holds a removal", "[store-return-watcher]")
 {
-    ReturningStore store({ .reportsRemovalsWithLastRevision = GENERATE(false, true) });
-    store.write(evacuations, "alp-a", noOrder);
-    store.keepCopy();
-    Follower vm(store, evacuations);
-    vm.poll();
+    FollowedStore followed(evacuations, { .reportsRemovalsWithLastRevision = GENERATE(false, true) });
+    auto& [store, vm] = followed;
+    followed.keepCopyWith("alp-a", noOrder);
     store.remove(evacuations, "alp-a");
     vm.poll();
     store.comeBack();
@@ -143,10 +134,9 @@
 // Guards against requests to a failure domain whose evacuation was lost, before the operator writes it again.
 TEST_CASE("an evacuation that the copy lacks is held", "[store-return-watcher]")
 {
-    ReturningStore store;
-    store.keepCopy();
-    Follower vm(store, evacuations);
-    vm.poll();
+    FollowedStore followed(evacuations);
+    auto& [store, vm] = followed;
+    followed.keepCopy();
     store.write(evacuations, "alp-a", noOrder);
     vm.poll();
     store.comeBack();
@@ -171,11 +161,9 @@
 // Guards against requests to a backend server that left in the time that the store lost.
 TEST_CASE("a server that left stays out of use although the copy holds its entry", "[store-return-watcher]")
 {
-    ReturningStore store({ .reportsRemovalsWithLastRevision = GENERATE(false, true) });
-    store.write(servers, "a", server(5), "ready");
-    store.keepCopy();
-    Follower vm(store, servers);
-    vm.poll();
+    FollowedStore followed(servers, { .reportsRemovalsWithLastRevision = GENERATE(false, true) });
+    auto& [store, vm] = followed;
+    followed.keepCopyWith("a", server(5), "ready");
     store.write(servers, "a", server(6), "draining");
     vm.poll();
     SECTION("its departure is undone")
@@ -210,10 +198,9 @@
 // Guards against servers that are dropped because their entries are not back yet, and against ones that stay for ever.
 TEST_CASE("a server that the copy lacks is kept until it can have written its entry again", "[store-return-watcher]")
 {
-    ReturningStore store;
-    store.keepCopy();
-    Follower vm(store, servers);
-    vm.poll();
+    FollowedStore followed(servers);
+    auto& [store, vm] = followed;
+    followed.keepCopy();
     store.write(servers, "a", server(5), "ready");
     vm.poll();
     store.comeBack();
@@ -298,11 +285,9 @@
 // Guards against a hold that another return ends too early, or that never ends.
 TEST_CASE("a return during a return begins the holds anew", "[store-return-watcher]")
 {
-    ReturningStore store;
-    store.write(evacuations, "lifted", noOrder);
-    store.keepCopy();
-    Follower vm(store, evacuations);
-    vm.poll();
+    FollowedStore followed(evacuations);
+    auto& [store, vm] = followed;
+    followed.keepCopyWith("lifted", noOrder);
     store.write(evacuations, "ordered", noOrder);
     store.remove(evacuations, "lifted");
     vm.poll();
@@ -327,11 +312,9 @@
 // Guards against a VM that misses a return whose era no answer showed it.
 TEST_CASE("two returns between two calls are one for the watcher", "[store-return-watcher]")
 {
-    ReturningStore store;
-    store.write(configurations, "main", configuration(3), "three");
-    store.keepCopy();
-    Follower vm(store, configurations);
-    vm.poll();
+    FollowedStore followed(configurations);
+    auto& [store, vm] = followed;
+    followed.keepCopyWith("main", configuration(3), "three");
     store.write(configurations, "main", configuration(7), "seven");
     vm.poll();
     store.comeBack();
@@ -351,11 +334,9 @@
 // Guards against a watch that goes on as if nothing had happened, because the revisions have passed the lost ones.
 TEST_CASE("a return is noticed when the revisions have passed the lost ones", "[store-return-watcher]")
 {
-    ReturningStore store;
-    store.write(configurations, "main", configuration(3), "three");
-    store.keepCopy();
-    Follower vm(store, configurations);
-    vm.poll();
+    FollowedStore followed(configurations);
+    auto& [store, vm] = followed;
+    followed.keepCopyWith("main", configuration(3), "three");
     store.write(configurations, "main", configuration(7), "seven");
     vm.poll();
     store.comeBack();
