--- a/tests/io/store_client.cpp
+++ b/tests/io/store_client.cpp
@@ -1,114 +1,17 @@
-#include "platform/store_api.h"
-#include "store/client_impl.h"
+#include "io/mocked_store.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/use_future.hpp>
-#include <boost/json.hpp>
-#include <catch2/catch.hpp>
-#include <catch2/trompeloeil.hpp>
-
-namespace asio = boost::asio;
 namespace core = cranberryshed::core;
 namespace json = boost::json;
 namespace platform = cranberryshed::platform;
 namespace store = cranberryshed::store;
+using namespace cranberryshed::test;
 using namespace std::chrono_literals;
-using store::ExchangeOutcome;
 using store::HttpMethod;
 using store::HttpRequest;
 using store::HttpResponse;
 using store::WriteAttemptOutcome;
 using store::WriteStep;
 
-namespace {
-
-// A mock transport whose clock advances only when the client waits.
-struct MockTransport {
-    MAKE_MOCK2(exchange, asio::awaitable<HttpResponse>(HttpRequest, core::TimePoint));
-
-    asio::awaitable<void> waitUntil(core::TimePoint until)
-    {
-        this->time = std::max(this->time, until);
-        co_return;
-    }
-    core::TimePoint now() const { return this->time; }
-
-    core::TimePoint time { 1h };
-};
-
-using MockedClient = store::Client<MockTransport, platform::NativeObjectApi>;
-
-asio::awaitable<HttpResponse> ready(HttpResponse response)
-{
-    co_return response;
-}
-
-HttpResponse answeredWith(unsigned status, std::string body)
-{
-    return { .outcome = ExchangeOutcome::Answered, .status = status, .body = std::move(body) };
-}
-
-const HttpResponse lost { .outcome = ExchangeOutcome::Lost, .status = 0, .body = {} };
-const HttpResponse notSent { .outcome = ExchangeOutcome::NotSent, .status = 0, .body = {} };
-
-struct StopWatching { };
-
-template <typename Result>
-Result run(asio::awaitable<Result> call)
-{
-    asio::io_context context;
-    auto future = asio::co_spawn(context, std::move(call), asio::use_future);
-    context.run();
-    return future.get();
-}
-
-core::Object target(std::uint64_t revision, std::uint64_t version = 0)
-{
-    return { .kind = "target", .name = "clone", .version = { .revision = revision, .version = version }, .deleted = false, .content = "{}" };
-}
-
-// Returns the JSON text of an object in the store with this `spec` and version.
-std::string objectText(const std::string& name, const json::value& spec, std::uint64_t version)
-{
-    return json::serialize(json::object { { "metadata", json::object { { "name", name }, { "revision", version } } }, { "spec", spec }, { "status", nullptr } });
-}
-
-std::string objectText(const store::StoredObject& stored)
-{
-    return objectText(platform::NativeObjectApi::qualifiedName(stored.object.kind, stored.object.name), json::parse(platform::NativeObjectApi::encodeSpec(stored)), stored.object.version.version);
-}
-
-// Returns the JSON text of the object that the store holds after this PUT.
-std::string objectAfterPut(const HttpRequest& request, std::uint64_t version)
-{
-    const json::value body = json::parse(request.body);
-    return objectText(std::string(body.at("metadata").at("name").as_string()), body.at("spec"), version);
-}
-
-// Returns the JSON text of an object that another process has written.
-std::string objectOfOtherWriter(std::uint64_t version)
-{
-    return objectText({ .object = target(9, version), .writeId = { .writer = "other", .nonce = "1" } });
-}
-
-std::string listResponse(std::uint64_t version, const std::vector<core::Object>& objects)
-{
-    json::array items;
-    for (const core::Object& object : objects)
-        items.push_back(json::parse(objectText({ .object = object, .writeId = {} })));
-    return json::serialize(json::object { { "items", std::move(items) }, { "has_more", false }, { "at", version } });
-}
-
-std::string changesResponse(std::uint64_t version, const std::vector<core::Object>& objects)
-{
-    json::array events;
-    for (const core::Object& object : objects)
-        events.push_back(json::object { { "deleted", false }, { "object", json::parse(objectText({ .object = object, .writeId = {} })) } });
-    return json::serialize(json::object { { "events", std::move(events) }, { "at", version } });
-}
-
-}
-
 // Guards against changes that are never seen: a stale list's later pages can be older than its first one, and a watch from
 // the version of the first page reports nothing in between.
 TEST_CASE("a list is as old as its oldest page", "[policy]")
