Read the store's era in the native clients

Cause: only the feed of the platform's objects passes the header's name to its transport. The watcher of native objects and the client of commands took each answer for one without an era, so a list could mix pages of two eras, and nothing that follows from a change of era could work there.

--- a/src/admin/blocking_admin_client.cpp
+++ b/src/admin/blocking_admin_client.cpp
@@ -65,7 +65,7 @@
 }
 
 BlockingAdminClient::BlockingAdminClient(const Options& options)
-    : transport(this->context, options.storeAddress)
+    : transport(this->context, options.storeAddress, platform::eraField)
     , client(this->transport, clientOptions(options))
 {
 }
--- a/src/app/store_sync.cpp
+++ b/src/app/store_sync.cpp
@@ -23,7 +23,7 @@
     , options(std::move(syncOptions))
     , onObject(std::move(objectCallback))
     , onServerList(std::move(serverListCallback))
-    , transport(owner, this->options.endpoint)
+    , transport(owner, this->options.endpoint, platform::eraField)
     , httpClient(this->transport, { .writer = this->options.writer, .seed = this->options.seed })
 {
 }
--- a/tests/io/store_fixture.h
+++ b/tests/io/store_fixture.h
@@ -15,7 +15,7 @@
 struct StoreFixture {
     explicit StoreFixture(store::ClientOptions options = quickOptions())
         : standIn(this->context)
-        , transport(this->context, this->standIn.endpoint())
+        , transport(this->context, this->standIn.endpoint(), platform::eraField)
         , client(this->transport, std::move(options))
     {
     }
