Count a write's late answer of an earlier era as lost

What callers saw in the test: the client knows era 2, a PUT is answered with 200 from era 1, and the write is reported as done, although the store may have lost it when it came back.

Cause: an answer of an earlier era got the outcome Lost, but kept its status. Client::write looks at the status of a PUT before the outcome.

Change: such an answer is replaced as a whole, as a lost connection leaves it. The test failed before (one PUT, written) and passes now: the object is read back, and the write ends as unclear.

--- a/src/store/client_impl.h
+++ b/src/store/client_impl.h
@@ -138,7 +138,7 @@
     ++this->answersByVerdict[static_cast<std::size_t>(reading.verdict)];
     answer.era = reading.era;
     if (reading.verdict == EraVerdict::Earlier || reading.verdict == EraVerdict::Unconfirmed)
-        answer.response.outcome = ExchangeOutcome::Lost;
+        answer.response = { .outcome = ExchangeOutcome::Lost, .status = 0, .body = {} };
 }
 
 // Retries a read until it is answered, the total timeout expires or the circuit breaker opens.
--- a/tests/io/native_store_era.cpp
+++ b/tests/io/native_store_era.cpp
@@ -5,8 +5,13 @@
 #include "io/mocked_store.h"
 #include "raw_server.h"
 
+#include <variant>
+
 using namespace cranberryshed;
 using namespace cranberryshed::test;
+using store::HttpMethod;
+using store::HttpRequest;
+using store::HttpResponse;
 
 namespace {
 
@@ -52,3 +57,45 @@
         CHECK_THROWS_AS(admin::BlockingAdminClient(options).list("site"), core::Error);
     }
 }
+
+namespace {
+
+// A client that has seen an answer of era 1, and the writes that it sends after that.
+struct WriteOfEarlierEra {
+    WriteOfEarlierEra()
+    {
+        REQUIRE_CALL(this->transport, exchange(trompeloeil::_, trompeloeil::_)).RETURN(ready(answeredInEra(1, 404, "{}")));
+        run(this->client.get("target", "clone"));
+    }
+
+    // Makes a write whose calls get these answers. Returns its result, or the kind of its error.
+    std::variant<store::WriteResult, core::ErrorKind> put(const std::vector<HttpResponse>& replies, std::uint64_t ifVersion)
+    {
+        ALLOW_CALL(this->transport, exchange(trompeloeil::_, trompeloeil::_)).LR_SIDE_EFFECT(this->methods.push_back(_1.method)).LR_RETURN(ready(replies.at(this->methods.size() - 1)));
+        try {
+            return run(this->client.put(target(3), ifVersion));
+        } catch (const core::Error& error) {
+            return error.kind();
+        }
+    }
+
+    MockTransport transport;
+    MockedClient client { this->transport, { .writer = "me", .seed = 1 } };
+    std::vector<HttpMethod> methods;
+};
+
+}
+
+// Guards against a write that is reported as done although the store lost it when it came back from a copy.
+TEST_CASE("a write whose answer is of an earlier era is read back", "[era]")
+{
+    WriteOfEarlierEra write;
+    {
+        REQUIRE_CALL(write.transport, exchange(trompeloeil::_, trompeloeil::_)).RETURN(ready(answeredInEra(2, 404, "{}")));
+        run(write.client.get("target", "clone"));
+    }
+    const std::string ownObject = objectText({ .object = target(3, 7), .writeId = {} });
+    const auto result = write.put({ answeredInEra(1, 200, ownObject), answeredInEra(2, 200, objectOfOtherWriter(5)) }, 6);
+    CHECK(write.methods == std::vector { HttpMethod::Put, HttpMethod::Get });
+    CHECK(std::get<core::ErrorKind>(result) == core::ErrorKind::WriteUnclear);
+}
