List native objects again when the store's era changes

Cause: the position of the native watch was a revision without an era. A store that has come back from a copy gives revisions out again; once it has passed the position, a watch from there skips the new changes up to it. The check by an extra call covers this only after an empty watch or a failure: a watch that was answered with a change of the new era went on from there, and after a 410 to the check itself the watch was sent from the old position.

Change: the position holds its era, and the cursor lists as soon as the client knows another one, whatever answer stated it. The check stays as it is, for stores that don't state their era in each answer. Two lists of one round that are of different eras are repeated as well.

Tests: the era changes with a change, an empty watch, a 503, a 410, and between two lists. The test of the cursor passes the era that it had implicitly, 0.

--- a/src/store/client_impl.h
+++ b/src/store/client_impl.h
@@ -330,7 +330,7 @@
                 newer.push_back(std::move(stored.object));
         }
     };
-    CursorStep next = cursor.nextStep();
+    const CursorStep next = cursor.nextStep(this->era());
     if (next == CursorStep::Verify) {
         const WatchOptions withoutWaiting {};
         ObjectBatch batch = co_await this->watch({}, cursor.fromVersion() - 1, withoutWaiting);
@@ -348,7 +348,10 @@
     ObjectBatch all;
     for (const std::string& kind : kinds) {
         ObjectBatch batch = co_await this->list(kind);
-        all.version = &kind == kinds.data() ? batch.version : all.version;
+        if (&kind == kinds.data()) {
+            all.era = batch.era;
+            all.version = batch.version;
+        }
         std::move(batch.objects.begin(), batch.objects.end(), std::back_inserter(all.objects));
     }
     cursor.recordList(all);
--- a/src/store/client_policy.cpp
+++ b/src/store/client_policy.cpp
@@ -127,18 +127,18 @@
     return position->second;
 }
 
-CursorStep WatchCursor::nextStep() const
+CursorStep WatchCursor::nextStep(std::uint64_t era) const
 {
-    if (!this->reachedVersion)
+    if (!this->reached || this->reached->era != era)
         return CursorStep::List;
-    return this->needsVerification && *this->reachedVersion > 0 ? CursorStep::Verify : CursorStep::Watch;
+    return this->mustVerify() ? CursorStep::Verify : CursorStep::Watch;
 }
 
 void WatchCursor::advanceTo(const ObjectBatch& batch)
 {
-    if (this->reachedVersion != batch.version)
+    if (this->reached != positionOf(batch))
         this->lastChange.reset();
-    this->reachedVersion = batch.version;
+    this->reached = positionOf(batch);
     for (const StoredObject& stored : batch.objects) {
         if (stored.object.version.version == batch.version)
             this->lastChange = withoutContent(stored);
@@ -147,8 +147,9 @@
 
 void WatchCursor::recordWatch(const ObjectBatch& batch)
 {
-    if (this->reachedVersion && batch.version < *this->reachedVersion) {
-        this->reachedVersion.reset();
+    const core::StorePosition position = positionOf(batch);
+    if (this->reached && (position.era != this->reached->era || position < *this->reached)) {
+        this->reached.reset();
         return;
     }
     this->advanceTo(batch);
@@ -158,22 +159,24 @@
 void WatchCursor::recordVerification(const ObjectBatch& batch)
 {
     this->needsVerification = false;
-    bool same = !batch.objects.empty() && batch.objects.front().object.version.version == this->reachedVersion
+    if (!this->reached)
+        return;
+    const bool isSame = batch.era == this->reached->era && !batch.objects.empty() && batch.objects.front().object.version.version == this->reached->revision
         && (!this->lastChange || isSameChange(*this->lastChange, batch.objects.front()));
-    if (same)
+    if (isSame)
         this->lastChange = withoutContent(batch.objects.front());
     else
-        this->reachedVersion.reset();
+        this->reached.reset();
 }
 
 void WatchCursor::recordHistoryGone()
 {
     // The verification reads one change more than the watch. If only that change is gone, the watch can still succeed;
     // if the watch fails as well, a list follows.
-    if (this->nextStep() == CursorStep::Verify)
+    if (this->mustVerify())
         this->needsVerification = false;
     else
-        this->reachedVersion.reset();
+        this->reached.reset();
 }
 
 }
--- a/src/store/client_policy.h
+++ b/src/store/client_policy.h
@@ -147,7 +147,7 @@
 };
 
 // The highest version of each object that this process has seen. An older version never replaces it, so a store that
-// was restored from an old copy cannot revert an object.
+// comes back from an older copy can't revert an object.
 class SeenVersions {
 public:
     // Returns whether the object is newer than every version of it seen before, and records its version if so.
@@ -169,14 +169,16 @@
 // The store version that a watch loop has reached, from which it decides on the next call: a watch from that version,
 // or a list if there is no such version yet or the store no longer holds the history since then.
 //
-// A store that was restored from an old copy assigns the versions after the copy a second time. Once it has passed the
-// cursor's version, a watch from there looks valid, but skips the new changes up to that version. So after an empty
-// watch and after a failure, the cursor verifies that the change at its version is still the one that it recorded.
+// A store that has come back from an older copy assigns the versions after the copy a second time. Once it has passed
+// the cursor's version, a watch from there looks valid, but skips the new changes up to that version. So a version of an
+// earlier era is never watched from. In case the store does not state its era, the cursor also verifies, after an empty
+// watch and after a failure, that the change at its version is still the one that it recorded.
 class WatchCursor {
 public:
-    CursorStep nextStep() const;
+    // `era`: the store's present one.
+    CursorStep nextStep(std::uint64_t era) const;
     // The store version to watch from; 0 before the first list.
-    std::uint64_t fromVersion() const { return this->reachedVersion.value_or(0); }
+    std::uint64_t fromVersion() const { return this->reached ? this->reached->revision : 0; }
     void recordList(const ObjectBatch& batch) { this->advanceTo(batch); }
     void recordWatch(const ObjectBatch& batch);
     void recordVerification(const ObjectBatch& batch);
@@ -186,10 +188,11 @@
     void recordFailure() { this->needsVerification = true; }
 
 private:
+    bool mustVerify() const { return this->needsVerification && this->fromVersion() > 0; }
     void advanceTo(const ObjectBatch& batch);
 
-    std::optional<std::uint64_t> reachedVersion;
-    std::optional<StoredObject> lastChange; // the change at `reachedVersion`, without its content, if it was seen
+    std::optional<core::StorePosition> reached;
+    std::optional<StoredObject> lastChange; // the change at `reached`, without its content, if it was seen
     bool needsVerification = false;
 };
 
--- a/tests/io/native_store_era.cpp
+++ b/tests/io/native_store_era.cpp
@@ -5,6 +5,7 @@
 #include "io/mocked_store.h"
 #include "raw_server.h"
 
+#include <set>
 #include <variant>
 
 using namespace cranberryshed;
@@ -25,6 +26,14 @@
     return R"({"items":[{"metadata":{"name":"site.)" + name + R"(","revision":4},"spec":{"revision":1,"writer":"w","nonce":"1","content":{}}}],"has_more":)" + (hasMore ? "true" : "false") + R"(,"at":9})";
 }
 
+core::Object site(const std::string& name, std::uint64_t revision, std::uint64_t version)
+{
+    return { .kind = "site", .name = name, .version = { .revision = revision, .version = version }, .deleted = false, .content = "{}" };
+}
+
+// The target of a request for the list of sites.
+const std::string siteList = "/api/objects/cranberryshed?after=site.";
+
 // A store that comes back from a copy between the two pages of a list.
 RawServer storeThatReturns()
 {
@@ -58,6 +67,53 @@
     }
 }
 
+// Guards against changes that a watch skips: a store that has come back from a copy assigns the revisions up to the one
+// that the watch had reached a second time.
+TEST_CASE("a watch of native objects doesn't go on from a position of an earlier era", "[era]")
+{
+    const HttpResponse firstOfNextEra = GENERATE(
+        answeredInEra(2, 200, changesResponse(6, { site("lyngby", 4, 6) })),
+        answeredInEra(2, 200, changesResponse(5, {})),
+        answeredInEra(2, 503, "{}"),
+        answeredInEra(2, 410, "{}"));
+    MockTransport transport;
+    MockedClient client(transport, { .writer = "me", .seed = 1 });
+    std::vector<std::string> targets;
+    const std::vector<HttpResponse> replies {
+        answeredInEra(1, 200, listResponse(5, { site("randers", 2, 5) })),
+        firstOfNextEra,
+        answeredInEra(2, 200, listResponse(6, { site("alp", 3, 4), site("lyngby", 4, 6) })),
+    };
+    ALLOW_CALL(transport, exchange(trompeloeil::_, trompeloeil::_)).LR_SIDE_EFFECT(targets.push_back(_1.target)).LR_RETURN(ready(replies.at(targets.size() - 1)));
+    std::set<std::string> received;
+    const auto onObjects = [&](const std::vector<core::Object>& objects) {
+        for (const core::Object& object : objects)
+            received.insert(object.name);
+        if (targets.size() == 3)
+            throw StopWatching();
+    };
+    CHECK_THROWS_AS(run(client.watchForever({ "site" }, onObjects)), StopWatching);
+    CHECK(received == std::set<std::string> { "alp", "lyngby", "randers" });
+    CHECK(targets.at(2) == siteList);
+}
+
+// Guards against changes that a watch skips: the position to watch from is that of the first list, which the store's
+// return has made invalid by the time of the second one.
+TEST_CASE("native objects are listed again if the store returns between two lists", "[era]")
+{
+    MockTransport transport;
+    MockedClient client(transport, { .writer = "me", .seed = 1 });
+    std::vector<std::string> targets;
+    const std::vector<HttpResponse> replies {
+        answeredInEra(1, 200, listResponse(5, { site("randers", 2, 5) })),
+        answeredInEra(2, 200, listResponse(3, {})),
+    };
+    ALLOW_CALL(transport, exchange(trompeloeil::_, trompeloeil::_)).LR_WITH(targets.size() < replies.size()).LR_SIDE_EFFECT(targets.push_back(_1.target)).LR_RETURN(ready(replies.at(targets.size() - 1)));
+    ALLOW_CALL(transport, exchange(trompeloeil::_, trompeloeil::_)).LR_WITH(targets.size() == replies.size()).LR_SIDE_EFFECT(targets.push_back(_1.target)).THROW(StopWatching());
+    CHECK_THROWS_AS(run(client.watchForever({ "site", "class" }, [](const auto&) {})), StopWatching);
+    CHECK(targets.at(2) == siteList);
+}
+
 namespace {
 
 // A client that has seen an answer of era 1, and the writes that it sends after that.
--- a/tests/io/store_client.cpp
+++ b/tests/io/store_client.cpp
@@ -252,24 +252,24 @@
         return changes;
     };
     store::WatchCursor cursor;
-    CHECK(cursor.nextStep() == store::CursorStep::List);
+    CHECK(cursor.nextStep(0) == store::CursorStep::List);
     cursor.recordList(batch(5, "before"));
-    CHECK(cursor.nextStep() == store::CursorStep::Watch);
+    CHECK(cursor.nextStep(0) == store::CursorStep::Watch);
     cursor.recordWatch({ .version = 5, .objects = {} });
-    CHECK(cursor.nextStep() == store::CursorStep::Verify);
+    CHECK(cursor.nextStep(0) == store::CursorStep::Verify);
     cursor.recordVerification(batch(5, "before"));
-    CHECK(cursor.nextStep() == store::CursorStep::Watch);
+    CHECK(cursor.nextStep(0) == store::CursorStep::Watch);
     cursor.recordFailure();
-    CHECK(cursor.nextStep() == store::CursorStep::Verify);
+    CHECK(cursor.nextStep(0) == store::CursorStep::Verify);
     cursor.recordHistoryGone(); // the history was compacted, which is not an error
-    CHECK(cursor.nextStep() == store::CursorStep::Watch);
+    CHECK(cursor.nextStep(0) == store::CursorStep::Watch);
     cursor.recordFailure();
     cursor.recordVerification(batch(5, "after"));
-    CHECK(cursor.nextStep() == store::CursorStep::List);
+    CHECK(cursor.nextStep(0) == store::CursorStep::List);
     cursor.recordList(batch(5, "after"));
     cursor.recordFailure();
     cursor.recordVerification({ .version = 4, .objects = {} });
-    CHECK(cursor.nextStep() == store::CursorStep::List);
+    CHECK(cursor.nextStep(0) == store::CursorStep::List);
 }
 
 // Guards against a change that is not in force within 18 s everywhere, because the store watchers' connections are dead
