Don't repeat a write on a condition of an earlier era

Cause: a write whose answer is lost, or that is refused, is sent again while the object has the version of the condition. After the store has come back from a copy, another writer's object can have that version by accident, and the write replaced it.

Change: if an answer shows a later era than the one in which the write began, the object is read back and the write isn't sent again. It ends as unclear if an attempt may have taken effect, else as a conflict. A creation is repeated: its condition names no version.

Price: a write that would have been right to repeat ends as a conflict.

The tests failed before: two PUTs where there must be a PUT and a GET.

--- a/src/store/client_impl.h
+++ b/src/store/client_impl.h
@@ -259,6 +259,7 @@
     core::TimePoint deadline = this->transport.now() + this->options.totalTimeout;
     Backoff backoff(this->options.backoff);
     WriteTracker tracker(stored.writeId, ifVersion);
+    const std::uint64_t returnsBefore = this->answerCount(EraVerdict::Advanced);
     WriteStep step = WriteStep::Send;
     std::optional<StoredObject> current;
     std::uint64_t replacedVersion = ifVersion;
@@ -278,6 +279,8 @@
         } catch (const core::Error&) {
             throw giveUpError();
         }
+        if (this->answerCount(EraVerdict::Advanced) != returnsBefore)
+            tracker.recordReturn();
         bool hasFailed = isServerFailure(response);
         if (isWrite && (response.status == httpOk || response.status == httpCreated))
             co_return WriteResult { .written = true, .current = ApiType::decodeObject(response.body) };
--- a/src/store/client_policy.cpp
+++ b/src/store/client_policy.cpp
@@ -80,7 +80,7 @@
     case WriteAttemptOutcome::Written:
         return WriteStep::Done;
     case WriteAttemptOutcome::NotApplied:
-        return WriteStep::Send;
+        return this->storeHasReturned ? WriteStep::ReadBack : WriteStep::Send;
     case WriteAttemptOutcome::Unknown:
         this->hasUnknownOutcome = true;
         return WriteStep::ReadBack;
@@ -95,7 +95,8 @@
     if (current && current->writeId == this->writeId)
         return WriteStep::Done;
     std::uint64_t version = current && !current->object.deleted ? current->object.version.version : 0;
-    if (version == this->ifVersion)
+    const bool isConditionValid = !this->storeHasReturned || this->ifVersion == 0;
+    if (isConditionValid && version == this->ifVersion)
         return WriteStep::Send;
     return this->resolveFailedCondition(current);
 }
--- a/src/store/client_policy.h
+++ b/src/store/client_policy.h
@@ -134,6 +134,10 @@
     // Records the object that was read back, or nothing if the store holds none, and returns the next step.
     WriteStep recordReadBack(const std::optional<StoredObject>& current);
 
+    // Records that the store has come back from a copy since the write began. It assigns versions a second time, so the
+    // write is not sent again on condition of one.
+    void recordReturn() { this->storeHasReturned = true; }
+
     // Whether an earlier attempt may have taken effect. If so, a write that is given up ends with WriteUnclear instead
     // of StoreUnavailable.
     bool mayHaveTakenEffect() const { return this->hasUnknownOutcome; }
@@ -144,6 +148,7 @@
     WriteId writeId;
     std::uint64_t ifVersion;
     bool hasUnknownOutcome = false; // of any attempt
+    bool storeHasReturned = false;
 };
 
 // The highest version of each object that this process has seen. An older version never replaces it, so a store that
--- a/tests/io/native_store_era.cpp
+++ b/tests/io/native_store_era.cpp
@@ -155,3 +155,29 @@
     CHECK(write.methods == std::vector { HttpMethod::Put, HttpMethod::Get });
     CHECK(std::get<core::ErrorKind>(result) == core::ErrorKind::WriteUnclear);
 }
+
+// Guards against a write that replaces another writer's object: after the store's return, the object can have the
+// version that the write expects by accident.
+TEST_CASE("a write is not repeated on the condition of an earlier era", "[era]")
+{
+    WriteOfEarlierEra write;
+    SECTION("the store lost the answer")
+    {
+        const auto result = write.put({ lost, answeredInEra(2, 200, objectOfOtherWriter(6)) }, 6);
+        CHECK(write.methods == std::vector { HttpMethod::Put, HttpMethod::Get });
+        CHECK(std::get<core::ErrorKind>(result) == core::ErrorKind::WriteUnclear);
+    }
+    SECTION("the store refused the write")
+    {
+        const auto result = write.put({ answeredInEra(2, 503, "{}"), answeredInEra(2, 200, objectOfOtherWriter(6)) }, 6);
+        CHECK(write.methods == std::vector { HttpMethod::Put, HttpMethod::Get });
+        CHECK_FALSE(std::get<store::WriteResult>(result).written);
+    }
+    SECTION("a creation is repeated, since its condition doesn't depend on a version")
+    {
+        const std::string created = objectText({ .object = target(3, 4), .writeId = {} });
+        const auto result = write.put({ answeredInEra(2, 503, "{}"), answeredInEra(2, 404, "{}"), answeredInEra(2, 201, created) }, 0);
+        CHECK(write.methods == std::vector { HttpMethod::Post, HttpMethod::Get, HttpMethod::Post });
+        CHECK(std::get<store::WriteResult>(result).written);
+    }
+}
