Keep two processes from holding the lease when the store returns

What the tests showed: after the store has come back from a copy, the lease of a living holder is absent or older there. An absent lease was taken at once, and an older one by a process that had seen that state long enough, while the former holder believed in its own for up to 30 s.

Cause: the one conditional write that takes the lease proves nothing about writes that a return has undone.

Ruled out: the era in the lease's object, since a conditional write can't name it and a store may not state it; a bound on the age of a copy, which nobody states.

Change: a process claims the lease first and holds it once a renewal succeeds that it sent half of the duration after the claim; it holds it for half of the duration from its last successful renewal. A lease from a write before the claim has expired by then, and one from a write after it makes the renewal conflict. A state of the object is told by version and write id, since versions are given out again. If the store states another era, the lease ends at once, and with it the term, so no status is written on a condition of the earlier era.

Price: nobody holds the lease for 15 s after a first start (0 before). After a return the holder keeps it, alone, for at most 10 s; then nobody holds it for at most 20 s, or 35 s if the copy has a lease.

Builds that don't wait can still hold the lease beside one of this build after a return.

--- a/src/app/status_writer.cpp
+++ b/src/app/status_writer.cpp
@@ -112,6 +112,7 @@
     asio::steady_timer timer(this->context);
     core::TimePoint nextWrite = wire::steadyNow();
     while (*active) {
+        this->lease.recordEra(this->client.era()); // other calls of the client may have shown it
         co_await this->advanceLease();
         if (!*active)
             co_return;
@@ -131,6 +132,7 @@
     try {
         if (this->lease.nextStep(wire::steadyNow()) == store::LeaseStep::Read) {
             const store::StoredObject current = co_await this->client.get(leaseKind, leaseName);
+            this->lease.recordEra(this->client.era());
             this->lease.recordRead(current, wire::steadyNow());
         }
         if (this->lease.nextStep(wire::steadyNow()) == store::LeaseStep::Write) {
@@ -140,6 +142,7 @@
             object.name = leaseName;
             object.content = this->lease.content();
             const store::WriteResult result = co_await this->client.put(object, this->lease.ifVersion());
+            this->lease.recordEra(this->client.era());
             this->lease.recordWrite(result, sentAt, wire::steadyNow());
         }
     } catch (const core::Error& error) {
--- a/src/store/lease.cpp
+++ b/src/store/lease.cpp
@@ -1,6 +1,8 @@
 #include "store/lease.h"
 
+#include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace cranberryshed::store {
 
@@ -32,52 +34,75 @@
         return LeaseStep::Wait;
     if (!this->isVersionKnown)
         return LeaseStep::Read;
-    // A holder whose lease has expired reads the object first, since another process may have held the lease meanwhile.
-    if (this->heldUntil)
-        return this->isHeld(now) ? LeaseStep::Write : LeaseStep::Read;
-    bool isExpired = this->lastVersion == 0 || now - this->versionFirstSeen >= this->observedDuration;
-    return isExpired ? LeaseStep::Write : LeaseStep::Read;
+    // A process whose claim has expired reads the object first, since another one may have held the lease meanwhile.
+    const bool canWrite = this->claimedUntil ? this->isClaimed(now) : this->isFree(now);
+    return canWrite ? LeaseStep::Write : LeaseStep::Read;
+}
+
+bool Lease::isFree(core::TimePoint now) const
+{
+    return this->lastVersion == 0 || now - this->firstSeen >= this->observedDuration / 2;
+}
+
+void Lease::dropClaim()
+{
+    this->claimedUntil.reset();
+    this->isConfirmed = false;
+}
+
+void Lease::recordEra(std::uint64_t currentEra)
+{
+    if (std::exchange(this->era, currentEra) == currentEra)
+        return;
+    this->dropClaim();
+    this->isVersionKnown = false;
 }
 
 void Lease::recordRead(const StoredObject& object, core::TimePoint now)
 {
-    std::uint64_t version = object.object.deleted ? 0 : object.object.version.version;
-    if (!this->isHeld(now))
-        this->heldUntil.reset();
-    if (!this->isVersionKnown || version != this->lastVersion) {
-        this->heldUntil.reset();
-        this->versionFirstSeen = now;
-    }
+    const std::uint64_t version = object.object.deleted ? 0 : object.object.version.version;
+    const bool isUnchanged = this->isVersionKnown && version == this->lastVersion && object.writeId == this->lastWriteId;
+    if (!isUnchanged || !this->isClaimed(now))
+        this->dropClaim();
+    if (!isUnchanged)
+        this->firstSeen = now;
     this->isVersionKnown = true;
     this->lastVersion = version;
+    this->lastWriteId = object.writeId;
     this->observedDuration = readDuration(object.object.content, this->options.duration);
-    bool isFree = version == 0 || now - this->versionFirstSeen >= this->observedDuration;
-    this->nextStepAt = isFree ? now : std::min(now + this->options.renewInterval, this->versionFirstSeen + this->observedDuration);
+    this->nextStepAt = this->isFree(now) ? now : std::min(now + this->options.readInterval, this->firstSeen + this->observedDuration / 2);
 }
 
 void Lease::recordWrite(const WriteResult& result, core::TimePoint sentAt, core::TimePoint now)
 {
     if (!result.written) {
-        this->heldUntil.reset();
         this->isVersionKnown = false;
         this->recordRead(result.current, now);
         return;
     }
-    if (!this->isHeld(now))
+    if (!this->isClaimed(now)) {
+        this->isConfirmed = false;
+        this->confirmAt = now + std::max(this->options.duration, this->observedDuration) / 2;
+    } else if (!this->isConfirmed && sentAt >= this->confirmAt) {
+        this->isConfirmed = true;
         ++this->termCount;
+    }
     this->isVersionKnown = true;
     this->lastVersion = result.current.object.version.version;
-    this->versionFirstSeen = now;
+    this->lastWriteId = result.current.writeId;
+    this->firstSeen = now;
     this->observedDuration = this->options.duration;
-    this->heldUntil = sentAt + this->options.duration;
+    this->claimedUntil = sentAt + this->options.duration / 2;
     this->nextStepAt = sentAt + this->options.renewInterval;
+    if (!this->isConfirmed)
+        this->nextStepAt = std::min(this->nextStepAt, this->confirmAt);
 }
 
 void Lease::recordFailure(core::TimePoint now)
 {
-    // The lease stays held until it expires, but a write whose outcome is unknown may have changed its version.
+    // The claim stands until it expires, but a write whose outcome is unknown may have changed the version.
     this->nextStepAt = now + retryDelay;
-    if (!this->isHeld(now))
+    if (!this->isClaimed(now))
         this->isVersionKnown = false;
 }
 
--- a/src/store/lease.h
+++ b/src/store/lease.h
@@ -11,8 +11,10 @@
 
 struct LeaseOptions {
     std::string holder; // id of this process, unique per start
+    // From a holder's last renewal until another process can hold the lease.
     core::Duration duration = std::chrono::seconds(30);
-    core::Duration renewInterval = std::chrono::seconds(10);
+    core::Duration renewInterval = std::chrono::seconds(10); // less than half of the duration
+    core::Duration readInterval = std::chrono::seconds(5); // while another process holds the lease
 };
 
 // The next step of the owner of a Lease.
@@ -25,8 +27,13 @@
 // A lease that lets at most one process at a time do a job. It is stored in one object of the platform's store and is
 // fenced by the object's version. It does no I/O: the owner reads and writes the object and passes in the results.
 //
-// Times are measured on the clock of this process only: another holder's lease counts as expired once this process has
-// seen the same version for the whole duration. So the clocks of different VMs need not agree.
+// A process first claims the lease: it writes the object once it is absent or has not changed for half of the duration.
+// It holds the lease once a renewal succeeds that it sent half of the duration after the claim, and then for half of the
+// duration from when it sent its last successful renewal. So no other process holds the lease at that time: a lease that
+// was renewed before the claim has expired, and one that was renewed after it has made the renewal conflict. This is so
+// also if the store comes back from an older copy, in which the lease of a living holder is absent or older.
+//
+// Times are measured on the clock of this process only, so the clocks of different VMs need not agree.
 //
 // The lease alone does not prevent late writes, since a holder can be paused right after it has checked the lease. Each
 // write of the protected object is therefore conditional on a version that the holder has seen in its term, see
@@ -41,15 +48,18 @@
     LeaseStep nextStep(core::TimePoint now) const;
     core::TimePoint nextStepTime() const { return this->nextStepAt; }
 
+    // Records the store's present era. If it has changed, the lease is no longer held and its object is read again. To be
+    // called before the results of a call are recorded.
+    void recordEra(std::uint64_t era);
     // Records the lease object that was read at `now`.
     void recordRead(const StoredObject& object, core::TimePoint now);
-    // Records the result of a write that was sent at `sentAt`. The duration of the lease starts at that time.
+    // Records the result of a write that was sent at `sentAt`. The time for which the lease is held starts then.
     void recordWrite(const WriteResult& result, core::TimePoint sentAt, core::TimePoint now);
-    // Records a failed call. The object's version is then unknown, so it is read again once the lease is not held.
+    // Records a failed call. The object's version is then unknown, so it is read again once the claim has expired.
     void recordFailure(core::TimePoint now);
 
-    // Whether this process holds the lease at `now`. After a pause longer than the lease it does not.
-    bool isHeld(core::TimePoint now) const { return this->heldUntil && now < *this->heldUntil; }
+    // Whether this process holds the lease at `now`. After a pause of half of the duration it does not.
+    bool isHeld(core::TimePoint now) const { return this->isConfirmed && this->isClaimed(now); }
     // The number of times that this process acquired the lease, not counting renewals. A write that was started in an
     // earlier term must not be continued in this one.
     std::uint64_t term() const { return this->termCount; }
@@ -60,12 +70,24 @@
     std::string content() const;
 
 private:
+    bool isClaimed(core::TimePoint now) const { return this->claimedUntil && now < *this->claimedUntil; }
+    // Whether no holder has renewed the lease for so long that this process can claim it.
+    bool isFree(core::TimePoint now) const;
+    void dropClaim();
+
     LeaseOptions options;
-    std::uint64_t lastVersion = 0; // of the lease object; 0: absent
-    bool isVersionKnown = false; // `lastVersion` is the version that the store was last seen to hold
-    core::TimePoint versionFirstSeen {}; // when this process first saw `lastVersion`
+    std::uint64_t era = 0; // of the store
+    // The lease object as it was last seen. Its version alone does not identify a state: a store that has come back from
+    // a copy assigns versions a second time.
+    std::uint64_t lastVersion = 0; // 0: absent
+    WriteId lastWriteId;
+    bool isVersionKnown = false; // the store was last seen to hold that state
+    core::TimePoint firstSeen {}; // when this process first saw that state
     core::Duration observedDuration {}; // as stated in the lease object
-    std::optional<core::TimePoint> heldUntil;
+    // The claim of this process, if it has one.
+    std::optional<core::TimePoint> claimedUntil; // unless it is renewed
+    core::TimePoint confirmAt {}; // a renewal that is sent from then on makes this process the holder
+    bool isConfirmed = false;
     core::TimePoint nextStepAt {};
     std::uint64_t termCount = 0;
 };
