Order native lists of backend servers by the store's era

Cause: VMs order the list by the version that the store gives it. If the store comes back from a copy in which the list is older, a new list has a version that was seen before. The merge filter takes a lower version after one minute, but by reading, it never gets one: the feed of declarations and the fleet's objects drop it first, until its version passes the lost one.

Change: the version of a list that is read from the store holds the era in front of the version, like the objects of the platform, so a list of a later era is newer everywhere. Without a stated era nothing changes. The store stand-in keeps its list outside of the copy, so no test with it shows this.

The test at the client failed before (2 > 7).

--- a/src/core/declarations.h
+++ b/src/core/declarations.h
@@ -132,7 +132,7 @@
 };
 
 struct ServerList {
-    std::uint64_t version = 0; // that the store assigned to the list
+    std::uint64_t version = 0; // position of the list in the store, see object_order.h
     TimePoint receivedAt {};
     std::vector<ServerListing> servers;
 };
--- a/src/store/client.h
+++ b/src/store/client.h
@@ -66,7 +66,8 @@
     // Replaces the object by a tombstone, under the same condition and with the same errors as `put`.
     boost::asio::awaitable<WriteResult> remove(core::Object object, std::uint64_t ifVersion) requires ConditionalWriteApi<ApiType>;
 
-    // Returns the list of backend servers. The platform updates it with a delay.
+    // Returns the list of backend servers. The platform updates it with a delay. A list of a later era has a higher
+    // version.
     boost::asio::awaitable<core::ServerList> fetchServerList() requires ConditionalWriteApi<ApiType>;
 
     // Lists the objects of the kinds and then watches them, also across failures and lost history, until it is
--- a/src/store/client_impl.h
+++ b/src/store/client_impl.h
@@ -317,7 +317,9 @@
     const Answer answer = co_await this->read(std::move(request));
     if (answer.response.status != httpOk)
         throw unexpectedStatus(answer.response);
-    co_return declare::parseServerList(ApiType::decodeServerList(answer.response.body), this->transport.now());
+    core::ServerList list = declare::parseServerList(ApiType::decodeServerList(answer.response.body), this->transport.now());
+    list.version = core::packPosition({ .era = answer.era, .revision = list.version });
+    co_return list;
 }
 
 // Makes the next step of a watch loop: a list of each kind, a watch, or a verification of the cursor. A watch covers
--- a/tests/io/native_store_era.cpp
+++ b/tests/io/native_store_era.cpp
@@ -181,3 +181,19 @@
         CHECK(std::get<store::WriteResult>(result).written);
     }
 }
+
+// Guards against a list of backend servers that is ignored after the store's return, since its version has gone back.
+TEST_CASE("a list of backend servers of a later era is newer", "[era]")
+{
+    MockTransport transport;
+    MockedClient client(transport, { .writer = "me", .seed = 1 });
+    const auto listOf = [&](std::uint64_t era, std::uint64_t version) {
+        const std::string spec = R"({"version":)" + std::to_string(version) + R"(,"vms":[]})";
+        const std::string body = R"({"metadata":{"name":"all","revision":1},"spec":)" + spec + '}';
+        REQUIRE_CALL(transport, exchange(trompeloeil::_, trompeloeil::_)).LR_RETURN(ready(answeredInEra(era, 200, body)));
+        return run(client.fetchServerList()).version;
+    };
+    const std::uint64_t first = listOf(1, 7);
+    CHECK(listOf(1, 8) > first);
+    CHECK(listOf(2, 2) > first);
+}
