--- a/tests/io/platform_fixture.h
+++ b/tests/io/platform_fixture.h
@@ -50,6 +50,7 @@
     }
 
     const std::string name;
+    std::string domain = "north-1"; // the failure domain that its entry states
     std::atomic<bool> dropsAnswers = false; // runs a request, then closes the connection without an answer
     std::atomic<bool> refusesRequests = false; // answers 503 with Not-Executed and doesn't run the request
     std::atomic<bool> asksForPause = false; // adds "Retry-After: 0.9" to refusals
@@ -180,11 +181,11 @@
         return this->addresses.back();
     }
 
-    void writeServerEntry(const PlatformServer& server, const std::string& state) { this->writeServerEntry(server.name, server.address(), state); }
+    void writeServerEntry(const PlatformServer& server, const std::string& state) { this->writeServerEntry(server.name, server.address(), state, {}, server.domain); }
 
-    void writeServerEntry(const std::string& name, const std::string& address, const std::string& state, std::chrono::milliseconds coldLeft = {})
+    void writeServerEntry(const std::string& name, const std::string& address, const std::string& state, std::chrono::milliseconds coldLeft = {}, const std::string& domain = "north-1")
     {
-        this->write("servers", name, R"({"address":")" + address + R"(","born":1776390940126,"info":{"service":"ledger","version":"v1","zone":"north-1","slots":3},"status":{"state":")" + state + R"(","sequence":)" + std::to_string(++this->lastSequence) + R"(,"cold_left":")" + std::to_string(coldLeft.count()) + R"(ms"}})");
+        this->write("servers", name, R"({"address":")" + address + R"(","born":1776390940126,"info":{"service":"ledger","version":"v1","zone":")" + domain + R"(","slots":3},"status":{"state":")" + state + R"(","sequence":)" + std::to_string(++this->lastSequence) + R"(,"cold_left":")" + std::to_string(coldLeft.count()) + R"(ms"}})");
     }
 
     // Writes a configuration to the store whose unsafe route has the path prefix `writePath`.
--- a/tests/io/vm_process.h
+++ b/tests/io/vm_process.h
@@ -9,6 +9,7 @@
     std::string name;
     std::string peerAddress; // "IP:port"
     std::vector<std::string> peers; // addresses of the VMs to join through
+    std::vector<std::string> domains { "north-1" }; // failure domains of the region
     std::string storeAddress {}; // empty: that of the fixture's store
     std::string logLevel = "info"; // with "error", decisions are not logged either
     std::string logFile {}; // to which the log is appended; empty: it is read by logUntil()
@@ -62,6 +63,9 @@
     std::string settingsText(PlatformFixture& fixture, const VmProcessOptions& options) const
     {
         namespace json = boost::json;
+        json::array domains;
+        for (const std::string& domain : options.domains)
+            domains.push_back(json::object { { "name", domain }, { "region", "north" } });
         const std::string within = std::to_string(options.changesWithin.count()) + "ms";
         return json::serialize(json::object {
             { "name", options.name },
@@ -73,7 +77,7 @@
             { "peerAddress", options.peerAddress },
             { "storeAddress", options.storeAddress.empty() ? fixture.store.endpoint() : options.storeAddress },
             { "peers", json::array(options.peers.begin(), options.peers.end()) },
-            { "domains", json::array { json::object { { "name", "north-1" }, { "region", "north" } } } },
+            { "domains", std::move(domains) },
             { "log", json::object { { "level", options.logLevel }, { "format", "json" } } },
             { "retries", json::object { { "share", options.retryShare }, { "slack", options.retrySlack } } },
             { "changes", json::object { { "leavingWithin", within }, { "configurationWithin", within } } },
