--- a/src/app/dev_command.cpp
+++ b/src/app/dev_command.cpp
@@ -158,7 +158,8 @@
         const EntryVm& first = *fleets.front()->entryVms().front();
         std::cout << "\ntry:\n  curl 'http://" << first.callerAddress() << "/v1/entry?class=stock-lookup'\n"
                   << "  curl -i 'http://" << first.callerAddress() << "/stock/bell-7' -H 'X-Work-Bytes: 100'\n"
-                  << "  cranberryshed dump " << first.adminAddress() << "\n  curl 'http://" << fleets.front()->storeAddress() << "/control' -d '{\"returnAfterMs\":5000}'   the store comes back from a copy" << "\nstop with Ctrl-C" << std::endl;
+                  << "  cranberryshed dump " << first.adminAddress() << "\n  curl 'http://" << fleets.front()->storeAddress() << "/control' -d '{\"returnAfterMs\":5000}'   the store comes back from a copy"
+                  << "\nstop with Ctrl-C" << std::endl;
     }
 
     void waitForSignal()
