Check that a VM goes on to know the version that it has shown

A probe asks for the newest version and the one before it only, so a VM that went back to a copy several versions older showed nothing but 404, which the bound of a configuration excuses while the store returns. A VM that has shown a version must now know its path until the next version is written, without any excuse but its own restart. It holds for [fleet-changes] too.

--- a/tests/io/soak_record.h
+++ b/tests/io/soak_record.h
@@ -135,6 +135,13 @@
         return std::ranges::any_of(this->returns, [&](const ReturnedStore& span) { return span.awaySince <= until && span.rewrittenAt + stableTime >= from; });
     }
 
+    // Whether a VM didn't know the path of the newest version.
+    bool isUnknown(const Probe& probe) const
+    {
+        const bool wasReplaced = std::ranges::any_of(this->changes, [&](const Change& change) { return change.version > probe.version && change.sentAt <= probe.answeredAt; });
+        return probe.status == 404 && !wasReplaced;
+    }
+
     // Each version is in force within the bound: its path exists, and that of the version before it doesn't.
     void checkConfigurations(std::vector<std::string>& broken) const
     {
@@ -144,8 +151,7 @@
             for (const Change& change : this->changes) {
                 if (probe.sentAt <= change.acknowledgedAt + changesWithin)
                     continue;
-                const bool wasReplaced = std::ranges::any_of(this->changes, [&](const Change& later) { return later.version > change.version && later.sentAt <= probe.answeredAt; });
-                const bool isMissing = probe.version == change.version && probe.status == 404 && !wasReplaced;
+                const bool isMissing = probe.version == change.version && this->isUnknown(probe);
                 const bool isStillServed = probe.version < change.version && probe.status == 200;
                 if (isMissing || isStillServed)
                     broken.push_back("configuration " + std::to_string(change.version) + " of " + this->textOf(change.acknowledgedAt) + " is not in force: " + this->describe(probe));
@@ -153,7 +159,8 @@
         }
     }
 
-    // A VM that has shown a version never again shows an older one, as long as its process runs.
+    // A VM that has shown a version never again shows an older one, as long as its process runs. It also goes on to know the
+    // version until the next one is written.
     void checkDowngrades(std::vector<std::string>& broken) const
     {
         for (const Probe& seen : this->probes) {
@@ -161,7 +168,10 @@
                 continue;
             for (const Probe& later : this->probes) {
                 const bool isLater = later.vm == seen.vm && later.incarnation == seen.incarnation && later.sentAt > seen.answeredAt + downgradeSlack;
-                if (isLater && later.version < seen.version && later.status == 200)
+                if (!isLater)
+                    continue;
+                const bool showsOlder = later.version < seen.version && later.status == 200;
+                if (showsOlder || (later.version == seen.version && this->isUnknown(later)))
                     broken.push_back("back from version " + std::to_string(seen.version) + ": " + this->describe(later));
             }
         }
