--- a/tests/io/check_soaks.h
+++ b/tests/io/check_soaks.h
@@ -15,6 +15,7 @@
         const std::size_t end = std::min(first + runsAtOnce, runs.size());
         std::vector<std::unique_ptr<FleetSoak>> soaks;
         std::vector<std::future<std::vector<std::string>>> results;
+        results.reserve(runsAtOnce);
         for (std::size_t i = first; i < end; ++i)
             soaks.push_back(std::make_unique<FleetSoak>(runs[i]));
         std::this_thread::sleep_for(FleetSoak::joinTime);
