--- a/src/store/era_tracker.h
+++ b/src/store/era_tracker.h
@@ -52,7 +52,7 @@
 
     std::optional<std::uint64_t> era;
     std::optional<std::uint64_t> laterEra; // than the present one, which the last answer stated
-    std::optional<core::TimePoint> earlierSince; // since when no answer has stated the present era
+    std::optional<core::TimePoint> earlierSince; // since when the answers that state an era state an earlier one
 };
 
 }
--- a/src/store/known_objects.cpp
+++ b/src/store/known_objects.cpp
@@ -52,7 +52,7 @@
     return StateVerdict::Newer;
 }
 
-bool KnownObjects::isHeldRemovable(const core::Object& object) const
+bool KnownObjects::canBeFromCopy(const core::Object& object) const
 {
     const auto found = this->objects.find(object.name);
     if (this->writerOrder != core::WriterOrder::None || found == this->objects.end() || !found->second.isRemoved)
@@ -88,7 +88,8 @@
         this->ignore(removal, known);
         return false;
     }
-    // A watch can report a removal with the revision of the state that it ends.
+    // A watch can report a removal with the revision of the state that it ends. The removal itself has used up a later one,
+    // so the next revision is none of a state of this object.
     if (report == ReportKind::Change && !known.isRemoved && removal.version <= known.version) {
         ++at.revision;
         removal.version.version = core::packPosition(at, core::PositionStage::Removed);
--- a/src/store/known_objects.h
+++ b/src/store/known_objects.h
@@ -45,7 +45,7 @@
 
     // Whether a listed state can have come back with the copy of an earlier era in which it was removed later, and its
     // writer states no order that would show it.
-    bool isHeldRemovable(const core::Object&) const;
+    bool canBeFromCopy(const core::Object&) const;
     // Turns such a state into a removal that is newer than it.
     void holdRemoved(core::Object&, core::TimePoint now);
 
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -182,7 +182,7 @@
 StateVerdict ObjectWatcher::applyListed(core::Object object, core::TimePoint now, std::vector<core::Object>& accepted)
 {
     this->heldRemovals.erase(object.name);
-    if (this->isSettling(now) && this->known.isHeldRemovable(object)) {
+    if (this->isSettling(now) && this->known.canBeFromCopy(object)) {
         this->known.holdRemoved(object, now);
         accepted.push_back(std::move(object));
         return StateVerdict::Older;
