--- a/review/rig-2/fleet.h
+++ b/review/rig-2/fleet.h
@@ -89,8 +89,8 @@
 
     ~EntryVm()
     {
-        if (this->process <= 0)
-            return;
+        if (this->process <= 0 || ::waitpid(this->process, nullptr, WNOHANG) != 0)
+            return; // not started, or ended and its id given back
         ::kill(this->process, SIGKILL);
         ::waitpid(this->process, nullptr, 0);
     }
@@ -120,6 +120,8 @@
         ::close(log);
     }
 
+    void signal(int number) const { ::kill(this->process, number); }
+
     bool isRunning() const { return ::waitpid(this->process, nullptr, WNOHANG) == 0; }
 
     bool isReady() const
--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -13,6 +13,7 @@
     const std::map<std::string, Case> cases {
         { "leaving-during-downloads", leavingDuringDownloads },
         { "crashing-request", crashingRequest },
+        { "repeated-stop", repeatedStop },
         { "reset-by-client", resetByClient },
     };
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
