--- a/review/rig-2/reset_by_client.cpp
+++ b/review/rig-2/reset_by_client.cpp
@@ -82,7 +82,9 @@
             if (found == left.end() || run.begin > found->second->closedAt)
                 continue;
             const Time limit = found->second->closedAt + grace;
-            wouldHaveLasted += run.begin + workOfPath(found->second->path) > limit ? 1 : 0;
+            if (run.begin + workOfPath(found->second->path) <= limit)
+                continue;
+            ++wouldHaveLasted;
             stillAtWork += run.end > limit ? 1 : 0;
         }
     }
