Check whether a server that broke a connection still accepts one, and log it

On the platform the engine now orders a check of the server (CheckServer) after an attempt broke; the front end opens a connection, keeps it for the next request and logs server-checked with accepts, refuses or unknown.

--- a/src/core/enums.h
+++ b/src/core/enums.h
@@ -82,6 +82,17 @@
     static constexpr std::array<std::string_view, 7> values = { "answered", "refused", "connect-failed", "broken", "timed-out", "cancelled", "misdirected" };
 };
 
+// What the attempt to open a connection shows of a backend server.
+enum class Reachability : std::uint8_t {
+    Accepts, // It runs, or another server has its address.
+    Refuses, // No process listens on its address, so it has ended.
+    Unknown, // No reply in time, or another error.
+};
+template <>
+struct Names<Reachability> {
+    static constexpr std::array<std::string_view, 3> values = { "accepts", "refuses", "unknown" };
+};
+
 // The components that log. The name is the fixed prefix of the component's log lines.
 enum class LogComponent : std::uint8_t { App,
     Lookup,
--- a/src/request/attempt_end.cpp
+++ b/src/request/attempt_end.cpp
@@ -76,7 +76,7 @@
             this->state.observe(SuspectCleared { .fingerprint = attempt.fingerprint });
         return Next<FinishedAttempt>::pass(std::move(ended));
     }
-    if (ended.event.result != core::AttemptResult::Broken || attempt.headAt || !registry.isolatesSuspects())
+    if (ended.event.result != core::AttemptResult::Broken || attempt.headAt || registry.policy() != CrashPolicy::Isolate)
         return Next<FinishedAttempt>::pass(std::move(ended));
     const std::uint64_t server = attempt.serverEntry().key;
     CrashObserved crash { .server = attempt.serverEntry().name, .inFlight = { attempt.fingerprint }, .isolated = attempt.isolated };
--- a/src/request/attempt_end.h
+++ b/src/request/attempt_end.h
@@ -32,7 +32,7 @@
     Next<FinishedAttempt> operator()(FinishedAttempt ended, core::TimePoint now) const;
 };
 
-// Filter: if the server broke the connection without an answer and isolation is enabled, marks the requests that this
+// Filter: if the server broke the connection without an answer and the policy is to isolate, marks the requests that this
 // traffic thread has in flight there as suspects. Clears a suspect that was answered.
 struct RecordCrash {
     State& state;
--- a/src/request/crash.h
+++ b/src/request/crash.h
@@ -9,13 +9,19 @@
 
 namespace cranberryshed::request {
 
+// What is done about requests that may crash backend servers.
+enum class CrashPolicy : std::uint8_t {
+    Isolate, // the requests in flight in a crash run alone on a server until one is answered
+    CheckServers, // a server that broke a connection without an answer is checked, because it may have lost only the answer
+};
+
 struct CrashOptions {
+    CrashPolicy policy = CrashPolicy::Isolate;
     core::Duration suspectTime = std::chrono::minutes(10); // how long a fingerprint stays a suspect after its last crash, unless it succeeds
     // How long a local quarantine lasts. It covers the time until control has added the fingerprint to the steering
     // table. Control sees the crashes of all entry VMs and decides for the fleet; it can find that this one was a
     // coincidence.
     core::Duration quarantineTime = std::chrono::seconds(30);
-    bool isolationEnabled = true; // false: requests in flight in a crash do not become suspects; for a platform whose servers crash too often on their own
     std::size_t maxSuspects = 10'000; // bound on the entries, about 64 bytes each; the one that expires first is evicted
 };
 
@@ -47,8 +53,7 @@
     // Records that a server which ran this request broke its connection without an answer. Returns the new suspicion.
     Suspicion onCrash(core::Fingerprint, bool isolated, core::TimePoint now);
 
-    // Whether requests that were in flight in a crash become suspects and run isolated.
-    bool isolatesSuspects() const { return this->options.isolationEnabled; }
+    CrashPolicy policy() const { return this->options.policy; }
 
     // Records that the request was answered. Returns whether it was a suspect, here or in the table.
     bool onSuccess(core::Fingerprint, const core::SteeringTable&, core::TimePoint now);
--- a/src/request/events.h
+++ b/src/request/events.h
@@ -71,7 +71,13 @@
 // Another traffic thread has released a slot, or a new steering table has been set.
 struct CapacityChanged { };
 
-using Event = std::variant<RequestArrived, AnswerStarted, AttemptEnded, CallerDisconnected, TimerDue, CapacityChanged>;
+// The result of a CheckServer.
+struct ServerChecked {
+    std::uint64_t serverKey = 0; // ServerEntry::key
+    core::Reachability reachability = core::Reachability::Unknown;
+};
+
+using Event = std::variant<RequestArrived, AnswerStarted, AttemptEnded, CallerDisconnected, TimerDue, CapacityChanged, ServerChecked>;
 
 // Commands: the front end executes these in order.
 
@@ -126,7 +132,13 @@
     core::TimePoint time;
 };
 
-using Command = std::variant<SendAttempt, CancelAttempt, RelayAnswer, Reject, SetTimer>;
+// Opens a connection to a backend server that broke one, to learn whether it still runs. ServerChecked reports the result.
+struct CheckServer {
+    core::ServerIndex server; // index in `table`
+    core::SteeringTablePointer table;
+};
+
+using Command = std::variant<SendAttempt, CancelAttempt, RelayAnswer, Reject, SetTimer, CheckServer>;
 using Commands = std::vector<Command>;
 
 // Observations: traffic threads report these to control.
--- a/src/request/pipeline.h
+++ b/src/request/pipeline.h
@@ -6,6 +6,7 @@
 #include "request/attempt_end.h"
 #include "request/check_capacity.h"
 #include "request/check_quarantine.h"
+#include "request/check_server.h"
 #include "request/check_shutdown.h"
 #include "request/choose_server.h"
 #include "request/claim_key.h"
@@ -37,7 +38,7 @@
 
 // Handles AttemptEnded. The capacity pipe runs afterwards, because a slot may be free.
 template <Chooser ChooserType>
-using AttemptEndPipe = core::Pipe<TakeAttempt, ReleaseSlot, RecordResult, NotifyChooser<ChooserType>, RecordCrash, RetryOrEnd>;
+using AttemptEndPipe = core::Pipe<TakeAttempt, ReleaseSlot, RecordResult, NotifyChooser<ChooserType>, RecordCrash, CheckBrokenServer, RetryOrEnd>;
 
 // Handles TimerDue: from RequestId to PendingAttempt, for a retry or a hedge.
 using TimerPipe = core::Pipe<FindRequest, EnforceDeadline, TakeDueAttempt>;
--- a/src/request/state.h
+++ b/src/request/state.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace cranberryshed::request {
 
@@ -187,6 +188,7 @@
     std::size_t reservedServerCount = 0; // servers that this thread has reserved for suspects
     std::unordered_map<std::uint64_t, RetryAllowance> retryAllowances; // by serviceKey
     RecentFailures recentFailures;
+    std::unordered_set<std::uint64_t> serversBeingChecked; // by ServerEntry::key
     SlotTimes slotTimes; // how long attempts hold a slot, by class
     Headroom headroom;
     std::uint64_t lastAttemptId = 0;
--- a/src/wire/event_log.h
+++ b/src/wire/event_log.h
@@ -33,6 +33,7 @@
     Answered, // the answer of a backend server was relayed to the caller
     Refused, // the caller got an error answer of cranberryshed itself
     CallerGone, // the caller closed its connection before the answer
+    ServerChecked, // whether a backend server that broke a connection without an answer still accepts connections
 };
 
 // The fields of a log line.
@@ -79,7 +80,7 @@
 
 template <>
 struct cranberryshed::core::Names<cranberryshed::wire::LogEvent> {
-    static constexpr std::array<std::string_view, 18> values = { "start", "stop", "reload", "dependency-lost", "dependency-regained", "store-returned", "era-ignored", "object-ignored", "watch-replaced", "configuration", "server-state", "member-state", "evacuation", "sent", "attempt-ended", "answered", "refused", "caller-gone" };
+    static constexpr std::array<std::string_view, 19> values = { "start", "stop", "reload", "dependency-lost", "dependency-regained", "store-returned", "era-ignored", "object-ignored", "watch-replaced", "configuration", "server-state", "member-state", "evacuation", "sent", "attempt-ended", "answered", "refused", "caller-gone", "server-checked" };
 };
 
 template <>
--- a/src/wire/request_log.cpp
+++ b/src/wire/request_log.cpp
@@ -80,6 +80,17 @@
         basisOf(*exchange.table, now));
 }
 
+void logServerChecked(const core::ServerEntry& server, core::Reachability reachability, core::Duration elapsed, core::TimePoint now)
+{
+    if (!tryAdmitEvent(LogEvent::ServerChecked, true, now))
+        return;
+    logEvent(LogEvent::ServerChecked, {
+                                          { LogField::Server, server.name },
+                                          { LogField::Result, core::nameOf(reachability) },
+                                          { LogField::ElapsedMs, wholeMilliseconds(elapsed) },
+                                      });
+}
+
 void logRefused(const Exchange& exchange, const request::Reject& reject, core::TimePoint now)
 {
     const LogEvent event = reject.error == core::ErrorKind::CallerGone ? LogEvent::CallerGone : LogEvent::Refused;
--- a/src/wire/upstream_impl.h
+++ b/src/wire/upstream_impl.h
@@ -3,11 +3,10 @@
 // The backend side of a session: sends a request to a backend server and reads the head of the answer. Included by
 // session_impl.h.
 
-#include "net/socket_options.h"
 #include "net/stream_parser.h"
 #include "wire/clock.h"
+#include "wire/connect.h"
 #include "wire/dialect.h"
-#include "wire/endpoint.h"
 #include "wire/read_answer.h"
 #include "wire/relay_answer.h"
 #include "wire/text_response.h"
@@ -42,15 +41,11 @@
         co_return true;
     }
     attempt.connection = std::make_unique<BackendConnection>(worker.executor(), worker.nextConnectionNumber());
-    attempt.connection->stream.expires_after(worker.limits().connectTimeout);
     const core::TimePoint begin = steadyNow();
-    auto [error] = co_await attempt.connection->stream.async_connect(parseEndpoint(attempt.address), useResult);
+    const error_code error = co_await connectTo(*attempt.connection, attempt.address, worker.limits());
     if (error || attempt.cancelled)
         co_return false;
     attempt.connectTime = steadyNow() - begin;
-    error_code ignored;
-    attempt.connection->stream.socket().set_option(tcp::no_delay(true), ignored);
-    net::detectUnresponsiveHost(attempt.connection->stream.socket().native_handle(), worker.limits().unresponsiveHostTimeout);
     co_return true;
 }
 
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -1,7 +1,9 @@
 #include "wire/worker.h"
 
 #include "wire/clock.h"
+#include "wire/connect.h"
 #include "wire/log.h"
+#include "wire/request_log.h"
 #include "wire/session.h"
 
 #include <algorithm>
@@ -231,6 +233,27 @@
     });
 }
 
+void Worker::execute(const request::CheckServer& command)
+{
+    asio::co_spawn(*this->context, this->checkServer(command), asio::detached);
+}
+
+// The pool keeps the connection for the next request to the server.
+Task<void> Worker::checkServer(request::CheckServer command)
+{
+    const core::ServerEntry& server = command.table->at(command.server);
+    auto connection = std::make_unique<BackendConnection>(this->executor(), this->nextConnectionNumber());
+    const core::TimePoint begin = steadyNow();
+    const error_code error = co_await connectTo(*connection, server.address, this->limits());
+    const core::Reachability reachability = reachabilityOf(error);
+    logServerChecked(server, reachability, steadyNow() - begin, steadyNow());
+    if (!error) {
+        connection->stream.expires_never();
+        this->pool.put(server.address, std::move(connection), steadyNow());
+    }
+    this->handle(request::ServerChecked { .serverKey = server.key, .reachability = reachability });
+}
+
 Task<void> Worker::acceptConnections(Listener listener)
 {
     for (;;) {
--- a/src/wire/worker.h
+++ b/src/wire/worker.h
@@ -128,6 +128,8 @@
     void execute(const request::RelayAnswer&);
     void execute(const request::Reject&);
     void execute(const request::SetTimer&);
+    void execute(const request::CheckServer&);
+    Task<void> checkServer(request::CheckServer);
     std::shared_ptr<BackendAttempt> findAttempt(core::RequestId, core::AttemptId);
     void flushObservationsIfDue();
     void offerFreedSlot(const request::Event&);
--- a/tests/pure/session.cpp
+++ b/tests/pure/session.cpp
@@ -70,6 +70,7 @@
 std::string describe(const request::CancelAttempt& cancel) { return "cancel " + idText(cancel.request) + ", " + idText(cancel.attempt); }
 std::string describe(const request::RelayAnswer& relay) { return "relay " + idText(relay.request) + ", " + idText(relay.attempt); }
 std::string describe(const request::SetTimer& wait) { return "wait " + idText(wait.request) + " until " + std::to_string((wait.time - start).count()) + " us"; }
+std::string describe(const request::CheckServer& check) { return "check server " + std::to_string(check.server.value); }
 std::string describe(const request::Reject& reject)
 {
     const core::ErrorKindInfo& info = core::errorInfo(reject.error);
--- a/tests/rig/engine_simulation.h
+++ b/tests/rig/engine_simulation.h
@@ -297,6 +297,15 @@
         this->scheduler.after(command.time - this->scheduler.now(), [this, vm, incarnation, id = command.request] { this->deliver(vm, incarnation, request::TimerDue { .request = id }); });
     }
 
+    void execute(std::size_t vm, unsigned incarnation, const request::CheckServer& command)
+    {
+        this->scheduler.after(this->options.oneWayDelay, [this, vm, incarnation, command] {
+            const core::Reachability reachability = this->servers[command.server.value]->acceptsConnections() ? core::Reachability::Accepts : core::Reachability::Refuses;
+            const std::uint64_t serverKey = command.table->at(command.server).key;
+            this->scheduler.after(this->options.oneWayDelay, [this, vm, incarnation, serverKey, reachability] { this->deliver(vm, incarnation, request::ServerChecked { .serverKey = serverKey, .reachability = reachability }); });
+        });
+    }
+
     // Replaces control: publishes suspects and quarantines to every entry VM after the gossip delay.
     void handleObservation(const request::Observation& observation)
     {
--- a/tests/rig/fake_server.h
+++ b/tests/rig/fake_server.h
@@ -75,6 +75,7 @@
             task.onEnd(core::AttemptResult::Broken);
     }
 
+    bool acceptsConnections() const { return this->isAlive; }
     std::uint32_t load() const { return static_cast<std::uint32_t>(this->running.size() + this->waiting.size()); }
 
     bool isRefusing = false; // refuses every request
