Notice the end of a caller's connection behind unread bytes and by a reset

Cause: the close was looked for by reading once, and the session can read only what is due next. A reset was no close, the first bytes of a next request ended the watch, and long bodies had none.

Change: each traffic thread has a HangupWatch, an epoll instance that reports a close (EPOLLRDHUP) whatever waits to be read. Why it works: the kernel reports an orderly close and a reset alike, and nothing has to be read for it, so a next request is still answered if its caller is there.

--- a/src/wire/session_impl.h
+++ b/src/wire/session_impl.h
@@ -14,8 +14,6 @@
 #include "wire/upstream_impl.h"
 #include "wire/worker.h"
 
-#include <sys/socket.h>
-
 namespace cranberryshed::wire {
 
 inline constexpr std::string_view lookupPath = "/v1/entry";
@@ -52,11 +50,19 @@
         this->stream.socket().set_option(tcp::no_delay(true), ignored);
     }
 
-    ~Session() { this->worker.connectionLimiter().close(this->address); }
+    ~Session()
+    {
+        this->worker.callerHangups().remove(this->hangupNumber);
+        this->worker.connectionLimiter().close(this->address);
+    }
 
     // Serves requests one after the other until the connection can't take another one.
     Task<void> run()
     {
+        this->hangupNumber = this->worker.callerHangups().add(this->stream.socket().native_handle(), [weak = this->weak_from_this()] {
+            if (const std::shared_ptr<Session> self = weak.lock())
+                self->onHangup();
+        });
         while (co_await this->serveRequest()) {
         }
         error_code ignored;
@@ -150,7 +156,7 @@
             co_return false;
         }
         // A request that was read late can be one whose caller has given up meanwhile.
-        if (exchange->bodyComplete && this->hasCallerClosed())
+        if (hasHungUp(this->stream.socket().native_handle()))
             co_return false;
         request::RequestArrived arrival = this->makeArrival(*exchange);
         exchange->objectHash = arrival.affinity;
@@ -169,9 +175,10 @@
         };
         this->worker.addExchange(exchange);
         this->incoming.reset();
+        this->currentExchange = exchange;
         this->worker.handle(std::move(arrival));
-        this->watchCaller(exchange);
         const bool keepAlive = co_await this->executeDecision(*exchange);
+        this->currentExchange.reset();
         exchange->timer.cancel();
         this->worker.removeExchange(exchange->id);
         co_return keepAlive;
@@ -292,27 +299,12 @@
         co_return result.isCallerReusable&& keepAlive;
     }
 
-    // Reports CallerDisconnected to the engine if the caller closes its connection while the request is in flight.
-    // Watches only requests whose whole body has been read, because until then readable data belongs to the body.
-    void watchCaller(const std::shared_ptr<Exchange>& exchange)
-    {
-        if (this->isWatchingCaller || !exchange->bodyComplete)
-            return;
-        this->isWatchingCaller = true;
-        this->watchedExchange = exchange;
-        this->stream.socket().async_wait(tcp::socket::wait_read, [self = this->shared_from_this()](error_code error) {
-            self->isWatchingCaller = false;
-            const std::shared_ptr<Exchange> current = self->watchedExchange.lock();
-            if (!error && current && self->hasCallerClosed())
-                self->worker.handle(request::CallerDisconnected { .request = current->id });
-        });
-    }
-
-    // Whether the caller has closed its connection and all that it sent before has been read.
-    bool hasCallerClosed()
+    // The caller has closed its connection. A request in flight then has nobody to answer, whatever else has been received
+    // on the connection.
+    void onHangup()
     {
-        char byte = 0;
-        return this->buffer.size() == 0 && ::recv(this->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+        if (const std::shared_ptr<Exchange> exchange = this->currentExchange.lock())
+            this->worker.handle(request::CallerDisconnected { .request = exchange->id });
     }
 
     static TextResponse errorResponseFor(core::ErrorKind kind)
@@ -366,8 +358,8 @@
     std::optional<Worker::IncomingRequest> incoming; // the request that is being read
     Timer readTimer;
     bool readTimedOut = false;
-    std::weak_ptr<Exchange> watchedExchange;
-    bool isWatchingCaller = false; // an async_wait on the caller's socket is pending
+    std::uint64_t hangupNumber = 0; // of the watch of the caller's connection
+    std::weak_ptr<Exchange> currentExchange;
 };
 
 // Serves the requests of one caller connection until either side closes it, or refuses the connection if its address
--- a/src/wire/worker.cpp
+++ b/src/wire/worker.cpp
@@ -47,6 +47,7 @@
     , engine(this->options.engine, request::SelectedChooser(this->options.chooser, this->options.threadCount), this->options.shared, this->options.seed)
     , lookups(lookup::FindClass {}, lookup::LocateCaller {}, lookup::RankMembers {}, lookup::IssueKey { *this->options.shared.keys })
     , pool(this->options.pool)
+    , hangups(this->executor())
     , observationTimer(this->executor())
 {
     this->engine.setTable(this->currentTable);
@@ -63,6 +64,7 @@
     this->exchanges.clear();
     this->observationTimer.cancel();
     this->pool.clear();
+    this->hangups.close();
     this->listeners.clear();
     this->context.reset();
 }
--- a/src/wire/worker.h
+++ b/src/wire/worker.h
@@ -7,6 +7,7 @@
 #include "wire/connection_limiter.h"
 #include "wire/connection_pool.h"
 #include "wire/exchange.h"
+#include "wire/hangup_watch.h"
 #include "wire/slot_notifier.h"
 #include "wire/traffic_limits.h"
 #include "wire/traffic_metrics.h"
@@ -70,6 +71,7 @@
     const TrafficLimits& limits() const { return this->options.limits; }
     const core::SteeringTablePointer& table() const { return this->currentTable; }
     ConnectionPool& connections() { return this->pool; }
+    HangupWatch& callerHangups() { return this->hangups; }
     TrafficMetrics& metrics() { return this->trafficMetrics; }
     lookup::KeyedLookupPipe& lookupPipe() { return this->lookups; }
     // Whether this entry VM is shutting down. Answers then close the connection, so that callers use another entry VM.
@@ -141,6 +143,7 @@
     TrafficEngine engine;
     lookup::KeyedLookupPipe lookups;
     ConnectionPool pool;
+    HangupWatch hangups; // of callers
     TrafficMetrics trafficMetrics;
     std::unordered_map<core::RequestId, std::shared_ptr<Exchange>> exchanges;
     std::size_t incomingRequests = 0;
--- a/tests/io/fleet_crashes.cpp
+++ b/tests/io/fleet_crashes.cpp
@@ -107,7 +107,7 @@
             thread.join();
         for (std::thread& caller : this->callers)
             caller.join();
-        for (const std::unique_ptr<WorkingServer>& server : this->servers)
+        for (const std::shared_ptr<WorkingServer>& server : this->servers)
             this->record.addServer(*server);
         return this->record.check(this->requests());
     }
@@ -160,7 +160,7 @@
 
     void startAt(Place& place)
     {
-        this->servers.push_back(std::make_unique<WorkingServer>(this->fixture.context, WorkingServer::Options { .name = "i-" + std::to_string(this->servers.size() + 1), .plan = [this](const WorkingServer::Request& request) { return this->plan(request); } }));
+        this->servers.push_back(WorkingServer::start(this->fixture.context, WorkingServer::Options { .name = "i-" + std::to_string(this->servers.size() + 1), .plan = [this](const WorkingServer::Request& request) { return this->plan(request); } }));
         place.server = this->servers.back().get();
         place.endedAt.reset();
         const std::shared_lock lock(this->storeAccess);
@@ -322,7 +322,7 @@
     std::atomic<unsigned> lastRequest = 0;
     Clock::time_point begin {};
     PlatformFixture fixture;
-    std::vector<std::unique_ptr<WorkingServer>> servers; // also those that have ended; destroyed after the fixture's thread
+    std::vector<std::shared_ptr<WorkingServer>> servers; // also those that have ended
     std::vector<std::unique_ptr<VmProcess>> vms;
     std::mutex processes; // protects the restart of the VMs' processes
     std::mutex callersAccess;
--- a/tests/io/working_server.h
+++ b/tests/io/working_server.h
@@ -18,19 +18,22 @@
     bool losesAnswer = false; // the connection is closed in place of the answer
     bool refuses = false; // the server answers that it has not run the request
     std::size_t answerBytes = 100;
+    std::chrono::milliseconds answerTime {}; // during which the body of the answer is sent in pieces
 };
 
-// A backend server with the HTTP conventions of the users' platform, whose work takes time. It drops a request when its
-// connection ends.
-class WorkingServer {
+// A backend server whose work takes time. It speaks as on the users' platform; the native interface takes its answers too.
+// It drops a request when its connection ends.
+//
+// Its coroutines keep it alive, so it may outlive its user, but not the context.
+class WorkingServer : public std::enable_shared_from_this<WorkingServer> {
 public:
-    using Request = wire::http::request<wire::http::string_body>;
+    using Request = wire::http::request_header<>;
     using Clock = std::chrono::steady_clock;
 
     struct Run {
         std::string request;
         std::string target;
-        Clock::time_point begin {};
+        Clock::time_point begin {}; // its header has arrived
         std::optional<Clock::time_point> end {}; // none: still at work
         bool isAnswered = false;
     };
@@ -38,23 +41,21 @@
     struct Options {
         std::string name;
         std::function<Work(const Request&)> plan;
+        bool isNative = false; // requests of the native interface name no server
     };
 
-    // All calls of `plan` are made on the thread of `owner`, which must run until this object's end.
-    WorkingServer(asio::io_context& owner, Options serverOptions)
-        : name(serverOptions.name)
-        , plan(std::move(serverOptions.plan))
-        , context(owner)
-        , acceptor(owner, { asio::ip::address_v4::loopback(), 0 })
-        , address("127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()))
+    // All calls of `plan` are made on the thread of `owner`.
+    static std::shared_ptr<WorkingServer> start(asio::io_context& owner, Options serverOptions)
     {
-        asio::co_spawn(owner, this->accept(), asio::detached);
+        std::shared_ptr<WorkingServer> server(new WorkingServer(owner, std::move(serverOptions)));
+        asio::co_spawn(owner, server->accept(server), asio::detached);
+        return server;
     }
 
     // Ends the server like a process that is killed: its connections end, and its port refuses new ones.
     void kill()
     {
-        asio::post(this->context, [this] { this->end(); });
+        asio::post(this->context, [self = this->shared_from_this()] { self->end(); });
     }
 
     bool hasEnded() const { return this->isEnded; }
@@ -77,12 +78,22 @@
 private:
     using Socket = asio::ip::tcp::socket;
 
-    asio::awaitable<void> accept()
+    WorkingServer(asio::io_context& owner, Options serverOptions)
+        : name(serverOptions.name)
+        , plan(std::move(serverOptions.plan))
+        , isNative(serverOptions.isNative)
+        , context(owner)
+        , acceptor(owner, { asio::ip::address_v4::loopback(), 0 })
+        , address("127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()))
+    {
+    }
+
+    asio::awaitable<void> accept(std::shared_ptr<WorkingServer> self)
     {
         for (;;) {
             const auto socket = std::make_shared<Socket>(co_await this->acceptor.async_accept(asio::use_awaitable));
             this->sockets.insert(socket);
-            asio::co_spawn(this->context, this->serve(socket), asio::detached);
+            asio::co_spawn(this->context, this->serve(self, socket), asio::detached);
         }
     }
 
@@ -95,7 +106,7 @@
             socket->close(ignored);
     }
 
-    asio::awaitable<void> serve(std::shared_ptr<Socket> socket)
+    asio::awaitable<void> serve(std::shared_ptr<WorkingServer>, std::shared_ptr<Socket> socket)
     {
         boost::beast::flat_buffer buffer;
         while (co_await this->serveRequest(*socket, buffer)) {
@@ -106,12 +117,13 @@
     asio::awaitable<bool> serveRequest(Socket& socket, boost::beast::flat_buffer& buffer)
     {
         boost::system::error_code error;
-        Request request;
-        co_await wire::http::async_read(socket, buffer, request, asio::redirect_error(asio::use_awaitable, error));
+        wire::http::request_parser<wire::http::string_body> parser;
+        co_await wire::http::async_read_header(socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error || this->isEnded)
             co_return false;
+        const Request& request = parser.get().base();
         const std::string id(request["Request-Id"]);
-        const bool isMisdirected = request["Expect-Instance"] != this->name;
+        const bool isMisdirected = !this->isNative && request["Expect-Instance"] != this->name;
         if (!isMisdirected) {
             const std::scoped_lock lock(this->mutex);
             this->arrivedAt[id].push_back(Clock::now());
@@ -120,13 +132,13 @@
         if (isMisdirected || work.refuses)
             co_return co_await this->write(socket, id, isMisdirected ? "421 Misdirected Request" : "503 Service Unavailable", isMisdirected ? "" : "Not-Executed: 1\r\n", "");
         const std::size_t run = this->begin(id, std::string(request.target()));
+        co_await wire::http::async_read(socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (work.crashes)
             this->end();
-        else
+        else if (!error)
             co_await this->waitUntil(socket, Clock::now() + work.time);
-        const bool isDropped = !isConnected(socket);
         bool isWritten = false;
-        if (!isDropped && !work.losesAnswer)
+        if (isConnected(socket) && !work.losesAnswer)
             isWritten = co_await this->writeAnswer(socket, id, work);
         const std::scoped_lock lock(this->mutex);
         this->record[run].end = Clock::now();
@@ -158,12 +170,25 @@
 
     asio::awaitable<bool> writeAnswer(Socket& socket, const std::string& id, const Work& work)
     {
+        const std::string fields = "Server-Stamp: " + this->name + "\r\n";
         const std::string body(work.answerBytes, 'x');
-        if (!work.crashesInAnswer)
-            co_return co_await this->write(socket, id, "200 OK", "Server-Stamp: " + this->name + "\r\n", body);
-        co_await this->write(socket, id, "200 OK", "Server-Stamp: " + this->name + "\r\n", body, body.size() / 2);
-        this->end();
-        co_return false;
+        if (work.crashesInAnswer) {
+            co_await this->write(socket, id, "200 OK", fields, body, body.size() / 2);
+            this->end();
+            co_return false;
+        }
+        if (work.answerTime == std::chrono::milliseconds::zero())
+            co_return co_await this->write(socket, id, "200 OK", fields, body);
+        constexpr std::size_t pieces = 20;
+        bool isWritten = co_await this->write(socket, id, "200 OK", fields, body, 0);
+        for (std::size_t i = 0; isWritten && i < pieces; ++i) {
+            boost::system::error_code error;
+            const std::size_t begin = i * body.size() / pieces;
+            co_await asio::async_write(socket, asio::buffer(body.data() + begin, (i + 1) * body.size() / pieces - begin), asio::redirect_error(asio::use_awaitable, error));
+            co_await this->waitUntil(socket, Clock::now() + work.answerTime / pieces);
+            isWritten = !error && isConnected(socket);
+        }
+        co_return isWritten;
     }
 
     // Writes an answer, or only its head and the first `sentBytes` of its body.
@@ -176,6 +201,7 @@
     }
 
     const std::function<Work(const Request&)> plan;
+    const bool isNative;
     asio::io_context& context;
     asio::ip::tcp::acceptor acceptor;
     std::set<std::shared_ptr<Socket>> sockets;
