--- a/review/rig-3/net.h
+++ b/review/rig-3/net.h
@@ -13,6 +13,8 @@
 #include <netinet/tcp.h>
 #include <optional>
 #include <poll.h>
+#include <random>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <sys/socket.h>
@@ -136,15 +138,21 @@
     return socket;
 }
 
-// A port that nothing uses at the moment, for TCP and UDP. The entry VMs bind it themselves.
+// A port that nothing uses at the moment, for TCP and UDP. The entry VMs bind it themselves, so it lies below the ports that the
+// kernel gives to outgoing connections.
 inline std::uint16_t freePort()
 {
+    static std::mt19937 random(std::random_device {}());
+    static std::set<std::uint16_t> taken; // by earlier calls
+    std::uniform_int_distribution<int> ports(20000, 32000);
     for (;;) {
-        const Socket stream = listenOnFreePort();
-        const std::uint16_t port = portOf(stream);
-        const Socket datagram(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+        const auto port = static_cast<std::uint16_t>(ports(random));
         const sockaddr_in address = loopback(port);
-        if (port < 32000 || port > 60999 || ::bind(datagram.descriptor(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0)
+        const Socket stream(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+        const Socket datagram(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+        const bool isFree = ::bind(stream.descriptor(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0
+            && ::bind(datagram.descriptor(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+        if (isFree && taken.insert(port).second)
             return port;
     }
 }
--- a/review/rig-3/upstream.h
+++ b/review/rig-3/upstream.h
@@ -26,6 +26,8 @@
     std::string service;
     std::string zone;
     milliseconds work { 100 };
+    int longEvery = 0; // one request in so many takes longer; 0: none
+    int longFactor = 4; // how many times as long
     int slots = 3;
     int queue = 9; // requests that wait for a slot
     int receiveBufferBytes = 0; // of each connection; 0: the system's choice
@@ -60,7 +62,8 @@
 
     Time removeEntry() { return this->store.remove("servers", this->options.id); }
 
-    void setWork(milliseconds work) { this->work = work; }
+    // From now on, its answers say that it leaves.
+    void leave() { this->isLeaving = true; }
 
     // Ends it: closes the listening socket and all connections.
     void end()
@@ -117,12 +120,12 @@
             this->waitForSlot();
             this->update(index, [](Arrival& arrival) { arrival.hasRun = true; });
             if (this->options.readsBodyLate)
-                std::this_thread::sleep_for(this->work.load());
+                std::this_thread::sleep_for(this->workOf(id));
         }
         const ReadResult result = readBody(socket, buffer, request, end);
         if (!isOther && !isFull) {
             if (!this->options.readsBodyLate && result == ReadResult::Complete)
-                std::this_thread::sleep_for(this->work.load());
+                std::this_thread::sleep_for(this->workOf(id));
             this->releaseSlot();
         }
         if (result != ReadResult::Complete) {
@@ -137,9 +140,17 @@
         return isWritten;
     }
 
+    // Which requests take longer follows from the number at the end of their id.
+    milliseconds workOf(const std::string& id) const
+    {
+        const std::size_t digits = id.find_last_not_of("0123456789") + 1;
+        const bool isLong = this->options.longEvery > 0 && digits < id.size() && std::stoi(id.substr(digits)) % this->options.longEvery == 0;
+        return isLong ? this->options.work * this->options.longFactor : this->options.work;
+    }
+
     std::string answerTo(const std::string& id, bool isOther, bool isFull, std::size_t bodyBytes) const
     {
-        const std::string common = "Request-Id: " + id + "\r\nInstance-Id: " + this->options.id + "\r\n";
+        const std::string common = "Request-Id: " + id + "\r\nInstance-Id: " + this->options.id + (this->isLeaving ? "\r\nServer-Leaving: 1\r\n" : "\r\n");
         if (isOther)
             return "HTTP/1.1 421 Misdirected Request\r\n" + common + "Content-Length: 0\r\n\r\n";
         if (isFull)
@@ -190,7 +201,7 @@
     Socket listener;
     const std::uint16_t port;
     const std::int64_t born = std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-    std::atomic<milliseconds> work { this->options.work };
+    std::atomic<bool> isLeaving = false;
     std::atomic<bool> isEnded = false;
     int sequence = 0;
     std::mutex mutex;
