--- a/review/rig-3/lookup_after_loss.cpp
+++ b/review/rig-3/lookup_after_loss.cpp
@@ -44,8 +44,11 @@
     upstream.registerAs("ready");
     const std::vector<Zone> zones { { "attiki-a", "attiki" }, { "attiki-b", "attiki" }, { "makedonia-a", "kentriki-makedonia" }, { "makedonia-b", "kentriki-makedonia" }, { "kriti-a", "kriti" }, { "kriti-b", "kriti" } };
     Deployment deployment(store, zones, {});
-    for (const char* name : { "attiki-a-1", "attiki-a-2", "attiki-b-1", "makedonia-a-1", "makedonia-a-2", "makedonia-b-1", "kriti-a-1", "kriti-a-2", "kriti-b-1" })
-        deployment.add(std::string("front-") + name, std::string(name).substr(0, std::string(name).size() - 2));
+    for (const Zone& zone : zones) {
+        const bool isFirstZone = zone.name.ends_with("-a");
+        for (int number = 1; number <= (isFirstZone ? 3 : 2); ++number)
+            deployment.add("front-" + zone.name + "-" + std::to_string(number), zone.name);
+    }
     if (!deployment.startAll()) {
         record.add("the entry VMs did not become ready");
         return notRun;
@@ -53,11 +56,11 @@
     Vm& remaining = *deployment.vms.front();
     std::this_thread::sleep_for(std::chrono::seconds(10));
     const std::optional<std::string> before = resolve(remaining, "attiki", "attiki-a");
-    if (!before || named(deployment, *before).size() != 3) {
-        record.add("the directory does not name the three VMs of the region: " + before.value_or("no answer"));
+    if (!before || named(deployment, *before).size() != 5) {
+        record.add("the directory does not name the five VMs of the region: " + before.value_or("no answer"));
         return notRun;
     }
-    record.add("9 entry VMs are ready; the directory of " + remaining.name + " names " + *before);
+    record.add("15 entry VMs are ready; the directory of " + remaining.name + " names " + *before);
     for (std::size_t i = 1; hasTrouble && i < deployment.vms.size(); ++i)
         deployment.vms[i]->signal(SIGKILL);
     const Time killedAt = Clock::now();
